Entries alone serve the platform: the whole path, thin

Cause: the product ran only before its own agents; the users' platform has workers without a process of ours beside them, a store that can only be read, and priced machines.

--- /dev/null
+++ b/internal/call/pipe/error.go
@@ -0,0 +1,27 @@
+package pipe
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind uint8
+
+// The kinds of Error.
+const (
+	KindUnsent Kind = iota // no byte left this process
+	KindBroken             // the endpoint may have seen the request
+)
+
+// Error is any failure of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func newError(op string, kind Kind, err error) *Error { return &Error{Op: op, Kind: kind, Err: err} }
+
+// Error describes the failure.
+func (e *Error) Error() string { return fmt.Sprintf("pipe: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/internal/entry/gone/gone.go
+++ b/internal/entry/gone/gone.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -31,23 +32,45 @@
 	}
 }
 
-// closed peeks at the socket without taking bytes: a further request of the
-// same connection stays where it is.
-func closed(conn net.Conn) bool {
+// Quiet reports whether a connection is open and nothing waits to be read on it.
+func Quiet(conn net.Conn) bool { return peek(conn) == stateQuiet }
+
+// closed reports whether the other end closed or broke the connection.
+func closed(conn net.Conn) bool { return peek(conn) == stateClosed }
+
+type state uint8
+
+const (
+	stateQuiet   state = iota // open, nothing to read
+	stateWaiting              // bytes wait to be read
+	stateClosed
+)
+
+// peek looks at the socket without taking bytes: a further request of the same
+// connection stays where it is.
+func peek(conn net.Conn) state {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return stateQuiet
 	}
 	sc, err := raw.SyscallConn()
 	if err != nil {
-		return true
+		return stateClosed
 	}
-	gone := false
+	found := stateQuiet
 	var buf [1]byte
 	err = sc.Control(func(fd uintptr) {
 		n, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting := peekErr == unix.EAGAIN || peekErr == unix.EINTR
-		gone = !waiting && (peekErr != nil || n == 0)
+		switch {
+		case errors.Is(peekErr, unix.EAGAIN) || errors.Is(peekErr, unix.EINTR):
+		case peekErr != nil || n == 0:
+			found = stateClosed
+		default:
+			found = stateWaiting
+		}
 	})
-	return err != nil || gone
+	if err != nil {
+		return stateClosed
+	}
+	return found
 }
--- /dev/null
+++ b/internal/router/book/book.go
@@ -0,0 +1,329 @@
+// Package book knows the endpoints of direct serving and what work is placed on
+// each: this process's own, what peers report, and what is promised to copies of
+// running generations. It decides where a call goes, and which calls wait. It
+// does no input or output.
+package book
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+)
+
+const (
+	// memoryShare is the part of an engine's memory that placed calls may fill.
+	// The rest covers outputs that grow longer than estimated.
+	memoryShare = 0.92
+	// plainQueue is how many calls for each slot of a plain endpoint may be placed.
+	plainQueue = 2.0
+
+	regionPenalty = 0.20 // of an endpoint's capacity, for another region's
+	centrePenalty = 0.04 // for another data centre of the same region
+
+	peerLoadAge = 2 * time.Second // a silent peer's load counts for so long
+	coldWindow  = time.Second
+
+	suspectFirst = 500 * time.Millisecond
+	suspectMost  = 8 * time.Second
+	suspectShift = 4 // doublings up to suspectMost
+
+	greyWeight    = 0.12 // of the newest outcome in the failure share
+	greyTolerated = 0.25 // failure share that costs nothing: applications fail too
+	greyPenalty   = 4.0  // of an endpoint's capacity, for a failure share of 1
+)
+
+// Load is work placed on an endpoint.
+type Load struct {
+	Calls  int
+	Tokens int // engine memory
+}
+
+func (l Load) plus(o Load) Load { return Load{l.Calls + o.Calls, l.Tokens + o.Tokens} }
+
+// Config is what a Book depends on.
+type Config struct {
+	DataCentre string
+	Region     string
+	Name       string       // of this process, for its part of small allowances
+	Entries    func() int   // processes that share allowances, at least 1
+	Draw       func() int64 // randomness that breaks ties
+}
+
+// Book is safe for concurrent use.
+type Book struct {
+	cfg       Config
+	mu        sync.Mutex
+	endpoints map[string]*entry
+	evacuated map[string]bool // by data centre
+	peers     map[string]peerLoad
+	waiting   []*waiter // in order of service
+	arrivals  uint64
+}
+
+type entry struct {
+	endpoint endpt.Endpoint
+	mine     Load
+	leaving  chan struct{} // closed once it gets no new work
+	left     bool
+	lapsed   time.Time // missing from the registry: usable until then, zero if listed
+	removed  bool
+	sent     []time.Time // sends within coldWindow
+	failures int         // in a row
+	suspect  time.Time   // avoided until then
+	grey     float64     // share of calls that failed
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// New returns an empty book.
+func New(cfg Config) *Book {
+	if cfg.Draw == nil {
+		cfg.Draw = rand.Int64
+	}
+	return &Book{cfg: cfg, endpoints: map[string]*entry{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}}
+}
+
+// Need is what a call asks of its endpoint.
+type Need struct {
+	Service       string
+	Regions       []string // empty for everywhere
+	Tokens        int      // engine memory that the call will hold
+	Memory        int      // of one engine of the service, 0 for a plain service
+	ColdPerSecond float64  // calls that a cold endpoint bears, 0 for no limit
+	Exclude       []string // endpoint IDs
+	Copy          bool     // only a copy of a running generation: memory, no slot
+}
+
+// Lease is work placed on one endpoint until Release.
+type Lease struct {
+	Endpoint endpt.Endpoint
+	book     *Book
+	entry    *entry
+	load     Load
+	once     sync.Once
+}
+
+// Outcome is what a lease taught about its endpoint.
+type Outcome uint8
+
+// The outcomes of a lease.
+const (
+	OutcomeNone     Outcome = iota // nothing was learned
+	OutcomeGood                    // the endpoint answered
+	OutcomeFailed                  // it answered with a failure or broke off
+	OutcomeUnusable                // it could not be reached
+)
+
+// Leaving is closed once the endpoint gets no new work.
+func (l *Lease) Leaving() <-chan struct{} { return l.entry.leaving }
+
+// Release takes the work off the endpoint. Only the first call counts.
+func (l *Lease) Release(now time.Time, outcome Outcome) {
+	l.once.Do(func() { l.book.release(now, l, outcome) })
+}
+
+func (b *Book) release(now time.Time, l *Lease, outcome Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := l.entry
+	e.mine.Calls -= l.load.Calls
+	e.mine.Tokens -= l.load.Tokens
+	e.learn(now, outcome)
+	if e.removed && e.mine == (Load{}) && b.endpoints[l.Endpoint.ID] == e {
+		delete(b.endpoints, l.Endpoint.ID)
+	}
+	b.serveWaiting(now)
+}
+
+func (e *entry) learn(now time.Time, outcome Outcome) {
+	switch outcome {
+	case OutcomeNone:
+	case OutcomeGood:
+		e.failures, e.suspect = 0, time.Time{}
+		e.grey -= greyWeight * e.grey
+	case OutcomeFailed:
+		e.grey += greyWeight * (1 - e.grey)
+	case OutcomeUnusable:
+		e.failures++
+		e.suspect = now.Add(min(suspectMost, suspectFirst<<min(suspectShift, e.failures-1)))
+	}
+}
+
+// Take places a call at the best endpoint, if one has room. A call never
+// overtakes one that waits for the same service; Wait queues it.
+func (b *Book) Take(now time.Time, need Need) (*Lease, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.take(now, need)
+}
+
+func (b *Book) take(now time.Time, need Need) (*Lease, bool) {
+	var best *entry
+	bestCost := 0.0
+	offset := uint64(b.cfg.Draw())
+	for _, e := range b.endpoints {
+		if !b.admits(now, e, need) {
+			continue
+		}
+		cost := b.cost(now, e, need) + tieBreak(e.endpoint.ID, offset)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	return b.place(now, best, need), true
+}
+
+// tieBreak is a number below any difference of load, different for each call.
+func tieBreak(id string, offset uint64) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return float64((h.Sum64()^offset)*0x9E3779B97F4A7C15>>40) / (1 << 24) * 0.01
+}
+
+func (b *Book) place(now time.Time, e *entry, need Need) *Lease {
+	load := Load{Calls: 1, Tokens: need.Tokens}
+	if need.Copy {
+		load.Calls = 0
+	} else {
+		e.sent = append(e.sent, now)
+	}
+	e.mine = e.mine.plus(load)
+	return &Lease{Endpoint: e.endpoint, book: b, entry: e, load: load}
+}
+
+// usable reports whether the endpoint may get new work of the service at all.
+func (b *Book) usable(now time.Time, e *entry, need Need) bool {
+	ep := e.endpoint
+	switch {
+	case ep.Service != need.Service, e.left, b.evacuated[ep.DataCentre]:
+		return false
+	case !e.lapsed.IsZero() && now.After(e.lapsed):
+		return false
+	case len(need.Regions) > 0 && !slices.Contains(need.Regions, ep.Region):
+		return false
+	}
+	return !slices.Contains(need.Exclude, ep.ID)
+}
+
+// admits reports whether the endpoint has room for the call now.
+func (b *Book) admits(now time.Time, e *entry, need Need) bool {
+	if !b.usable(now, e, need) {
+		return false
+	}
+	if !need.Copy && need.ColdPerSecond > 0 && !b.coldAdmits(now, e, need.ColdPerSecond) {
+		return false
+	}
+	load := e.mine.plus(b.peerLoad(now, e.endpoint.ID))
+	if load == (Load{}) {
+		return true
+	}
+	if need.Memory == 0 {
+		return float64(load.Calls) < plainQueue*float64(e.endpoint.Slots)
+	}
+	return load.Calls < e.endpoint.Slots && float64(load.Tokens+need.Tokens) <= memoryShare*float64(need.Memory)
+}
+
+// coldAdmits keeps this process's part of what an endpoint bears while cold. It
+// holds at all times, since an endpoint may turn cold without warning.
+func (b *Book) coldAdmits(now time.Time, e *entry, perSecond float64) bool {
+	keep := slices.IndexFunc(e.sent, func(t time.Time) bool { return now.Sub(t) < coldWindow })
+	if keep < 0 {
+		keep = len(e.sent)
+	}
+	e.sent = slices.Delete(e.sent, 0, keep)
+	part := perSecond / float64(b.cfg.Entries())
+	if part >= 1 {
+		return len(e.sent) < int(part)
+	}
+	return len(e.sent) < 1 && b.chosen(e.endpoint.ID, part)
+}
+
+// chosen selects the processes that may send to an endpoint whose allowance is
+// smaller than their number.
+func (b *Book) chosen(id string, part float64) bool {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(b.cfg.Name + "/" + id))
+	return float64(h.Sum64()>>11)/(1<<53) < part
+}
+
+// cost ranks endpoints: the share of capacity in use, distance, and failures.
+func (b *Book) cost(now time.Time, e *entry, need Need) float64 {
+	load := e.mine.plus(b.peerLoad(now, e.endpoint.ID))
+	cost := greyPenalty * max(0, e.grey-greyTolerated)
+	if need.Memory > 0 {
+		cost += float64(load.Tokens) / float64(need.Memory)
+	} else {
+		cost += float64(load.Calls) / float64(max(1, e.endpoint.Slots))
+	}
+	switch {
+	case e.endpoint.Region != b.cfg.Region:
+		cost += regionPenalty
+	case e.endpoint.DataCentre != b.cfg.DataCentre:
+		cost += centrePenalty
+	}
+	if now.Before(e.suspect) {
+		cost += suspectPenalty
+	}
+	if !e.lapsed.IsZero() {
+		cost += lapsedPenalty
+	}
+	return cost
+}
+
+const (
+	suspectPenalty = 100.0 // taken only when nothing else is left
+	lapsedPenalty  = 10.0  // the registry does not list it: after all that are listed
+)
+
+func (b *Book) peerLoad(now time.Time, id string) (sum Load) {
+	for _, p := range b.peers {
+		if now.Sub(p.at) <= peerLoadAge {
+			sum = sum.plus(p.loads[id])
+		}
+	}
+	return sum
+}
+
+// SetPeerLoad replaces what one peer has placed.
+func (b *Book) SetPeerLoad(now time.Time, peer string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[peer] = peerLoad{at: now, loads: loads}
+	b.serveWaiting(now)
+}
+
+// Loads returns what this process has placed, by endpoint.
+func (b *Book) Loads() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := make(map[string]Load, len(b.endpoints))
+	for id, e := range b.endpoints {
+		if e.mine != (Load{}) {
+			loads[id] = e.mine
+		}
+	}
+	return loads
+}
+
+// Usable counts the endpoints of the need that may get new work at all.
+func (b *Book) Usable(now time.Time, need Need) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, e := range b.endpoints {
+		if b.usable(now, e, need) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/router/book/list.go
@@ -0,0 +1,190 @@
+package book
+
+import (
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+)
+
+// Change tells what a listing did to one endpoint.
+type Change struct {
+	Endpoint endpt.Endpoint
+	What     What
+}
+
+// What names a Change.
+type What uint8
+
+// The changes of an endpoint.
+const (
+	WhatNone    What = iota
+	WhatAdded        // new, or a new incarnation
+	WhatLeaving      // gets no new work from now on
+	WhatLapsed       // missing after an outage of the registry, usable for a while
+	WhatReturn       // listed again
+)
+
+// String returns the name used in logs.
+func (w What) String() string {
+	return [...]string{"none", "added", "leaving", "lapsed", "returned"}[w]
+}
+
+// Put records one listed endpoint.
+func (b *Book) Put(now time.Time, ep endpt.Endpoint) Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change := b.put(ep)
+	b.serveWaiting(now)
+	return change
+}
+
+func (b *Book) put(ep endpt.Endpoint) Change {
+	e, known := b.endpoints[ep.ID]
+	if known && ep.Born < e.endpoint.Born {
+		return Change{Endpoint: ep} // a late message of an earlier incarnation
+	}
+	if !known || e.removed || !e.endpoint.Same(ep) {
+		if known {
+			e.leave()
+		}
+		e = &entry{endpoint: ep, leaving: make(chan struct{})}
+		b.endpoints[ep.ID] = e
+		if ep.Draining {
+			e.leave()
+			return Change{ep, WhatLeaving}
+		}
+		return Change{ep, WhatAdded}
+	}
+	e.endpoint = ep
+	switch {
+	case ep.Draining && !e.left:
+		e.leave()
+		return Change{ep, WhatLeaving}
+	case !e.lapsed.IsZero():
+		e.lapsed = time.Time{}
+		return Change{ep, WhatReturn}
+	}
+	return Change{Endpoint: ep}
+}
+
+// leave ends new work for the endpoint, for good: an incarnation that leaves
+// does not come back.
+func (e *entry) leave() {
+	if !e.left {
+		e.left = true
+		close(e.leaving)
+	}
+}
+
+// Leave ends new work for an endpoint on a peer's word.
+func (b *Book) Leave(id string, born int64) Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, known := b.endpoints[id]
+	if !known || e.left || e.endpoint.Born != born {
+		return Change{}
+	}
+	e.leave()
+	return Change{e.endpoint, WhatLeaving}
+}
+
+// Remove records that the registry no longer lists an endpoint. With a grace it
+// stays usable until then, since its entry may have expired while the registry
+// was away.
+func (b *Book) Remove(now time.Time, id string, grace time.Time) Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.remove(now, id, grace)
+}
+
+func (b *Book) remove(now time.Time, id string, grace time.Time) Change {
+	e, known := b.endpoints[id]
+	switch {
+	case !known:
+		return Change{}
+	case now.Before(grace) && !e.left:
+		if !e.lapsed.IsZero() {
+			return Change{}
+		}
+		e.lapsed = grace
+		return Change{e.endpoint, WhatLapsed}
+	}
+	wasLeft := e.left
+	e.leave()
+	e.removed = true
+	if e.mine == (Load{}) {
+		delete(b.endpoints, id)
+	}
+	if wasLeft {
+		return Change{}
+	}
+	return Change{e.endpoint, WhatLeaving}
+}
+
+// Replace records a whole listing.
+func (b *Book) Replace(now time.Time, list []endpt.Endpoint, grace time.Time) []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var changes []Change
+	listed := make(map[string]bool, len(list))
+	for _, ep := range list {
+		listed[ep.ID] = true
+		changes = appendChange(changes, b.put(ep))
+	}
+	for id := range b.endpoints {
+		if !listed[id] {
+			changes = appendChange(changes, b.remove(now, id, grace))
+		}
+	}
+	b.serveWaiting(now)
+	return changes
+}
+
+func appendChange(list []Change, c Change) []Change {
+	if c.What == WhatNone {
+		return list
+	}
+	return append(list, c)
+}
+
+// Expire drops endpoints whose grace is over.
+func (b *Book) Expire(now time.Time) []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var changes []Change
+	for id, e := range b.endpoints {
+		if !e.lapsed.IsZero() && now.After(e.lapsed) {
+			changes = appendChange(changes, b.remove(now, id, time.Time{}))
+		}
+	}
+	b.serveWaiting(now) // allowances and suspicions end with time
+	return changes
+}
+
+// Evacuate takes a data centre out or back in. It reports whether that changed
+// anything.
+func (b *Book) Evacuate(now time.Time, centre string, out bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.evacuated[centre] == out {
+		return false
+	}
+	if out {
+		b.evacuated[centre] = true
+	} else {
+		delete(b.evacuated, centre)
+	}
+	b.serveWaiting(now)
+	return true
+}
+
+// Evacuated returns the data centres that are out of service.
+func (b *Book) Evacuated() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for centre := range b.evacuated {
+		out = append(out, centre)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/router/serve/place.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/conf/table"
+	"github.com/mimosalock/mimosalock/internal/router/book"
+)
+
+const (
+	// heldShare is the part of the expected output that a generation holds on
+	// average while it runs.
+	heldShare = 0.6
+	// patience is how many times its objective a stream waits for a place. Callers
+	// abandon a stream after four times its objective.
+	patience = 3
+	// wholePatience is the part of the objective that a whole answer waits for a
+	// place: its endpoint still needs the rest.
+	wholePatience = 0.8
+	// startShare is the part of the objective that remains for the endpoint's own
+	// work when a call is placed on time.
+	startShare = 0.7
+)
+
+// need describes the place that a call asks for.
+func need(call *desc.Call, service table.Service, exclude []string) book.Need {
+	n := book.Need{
+		Service: call.Service, Regions: call.Regions, Exclude: exclude, ColdPerSecond: service.ColdPerSecond,
+	}
+	if service.Engine != nil {
+		n.Memory = service.Engine.MemoryTokens
+		n.Tokens = call.PromptTokens + int(heldShare*float64(call.Tokens()-call.PromptTokens))
+	}
+	return n
+}
+
+// place finds an endpoint for the call, waiting for room if there is none.
+func (s *Server) place(ctx context.Context, in Input, exclude []string) (*book.Lease, Reason) {
+	now := time.Now()
+	n := need(in.Call, in.Service, exclude)
+	if s.Book.Waiting(in.Call.Service) == 0 {
+		if lease, ok := s.Book.Take(now, n); ok {
+			return lease, ReasonNone
+		}
+	}
+	if s.Book.Usable(now, n) == 0 {
+		return nil, ReasonNoEndpoint
+	}
+	lease := s.Book.Wait(ctx, now, n, waitPlace(in.Call))
+	switch {
+	case lease != nil:
+		return lease, ReasonNone
+	case ended(ctx) != ReasonNone:
+		return nil, ended(ctx)
+	}
+	return nil, ReasonBusy
+}
+
+// waitPlace orders a waiting call and bounds its wait.
+func waitPlace(call *desc.Call) book.Place {
+	limit := time.Duration(wholePatience * float64(call.FirstAnswer))
+	if call.Kind.Streams() {
+		limit = patience * call.FirstAnswer
+	}
+	until := call.Arrived.Add(limit)
+	if call.Deadline.Before(until) {
+		until = call.Deadline
+	}
+	return book.Place{
+		Priority: call.Priority,
+		OnTime:   call.Arrived.Add(time.Duration(startShare * float64(call.FirstAnswer))),
+		Until:    until,
+	}
+}
