Entries share placed load; moves try several engines; copies near their source

Cause: a new, empty engine drew the work of all entries at once; failed moves spent retry budget and asked the same engine again; copies between data centres take twice the link, and a full link refuses moves (503 with memory free). Ruled out: lack of memory at the target (reports show 4 to 12 of 34 thousand tokens in use), news of a notice that comes late (watch returns at once).

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -62,9 +62,9 @@
 func (CentreChanged) event() {}
 
 const (
-	// pace is the pause between two watches. Each endpoint's heartbeat ends a
-	// watch, and each call is priced.
-	pace = 200 * time.Millisecond
+	// pace is the pause between two watches. It gathers changes that come together
+	// into one priced call.
+	pace = 20 * time.Millisecond
 	// outage is how long the registry must fail before entries that vanish count
 	// as expired with it. Three missed heartbeats of a second remove one.
 	outage = 1500 * time.Millisecond
--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -23,6 +23,7 @@
 
 	regionPenalty = 0.20 // of an endpoint's capacity, for another region's
 	centrePenalty = 0.04 // for another data centre of the same region
+	copyPenalty   = 0.50 // for a copy in another data centre than its source
 
 	peerLoadAge = 2 * time.Second // a silent peer's load counts for so long
 	coldWindow  = time.Second
@@ -99,6 +100,7 @@
 	ColdPerSecond float64  // calls that a cold endpoint bears, 0 for no limit
 	Exclude       []string // endpoint IDs
 	Copy          bool     // only a copy of a running generation: memory, no slot
+	Near          string   // data centre to be close to, this process's own if empty
 }
 
 // Lease is work placed on one endpoint until Release.
@@ -265,12 +267,7 @@
 	} else {
 		cost += float64(load.Calls) / float64(max(1, e.endpoint.Slots))
 	}
-	switch {
-	case e.endpoint.Region != b.cfg.Region:
-		cost += regionPenalty
-	case e.endpoint.DataCentre != b.cfg.DataCentre:
-		cost += centrePenalty
-	}
+	cost += b.distance(e, need)
 	if now.Before(e.suspect) {
 		cost += suspectPenalty
 	}
@@ -280,6 +277,22 @@
 	return cost
 }
 
+// distance is the penalty for the way to the endpoint. Copies are as far as the
+// engine that they are copied from: between data centres they take twice as long.
+func (b *Book) distance(e *entry, need Need) float64 {
+	switch {
+	case need.Near != "" && e.endpoint.DataCentre != need.Near:
+		return copyPenalty
+	case need.Near != "":
+		return 0
+	case e.endpoint.Region != b.cfg.Region:
+		return regionPenalty
+	case e.endpoint.DataCentre != b.cfg.DataCentre:
+		return centrePenalty
+	}
+	return 0
+}
+
 const (
 	suspectPenalty = 100.0 // taken only when nothing else is left
 	lapsedPenalty  = 10.0  // the registry does not list it: after all that are listed
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,10 +66,11 @@
 	return r.reserve(lease)
 }
 
-// reserve takes memory for a copy on an engine other than the lease's.
-func (r *streamRun) reserve(lease *book.Lease) *book.Lease {
-	n := need(r.in.Call, r.in.Service, []string{lease.Endpoint.ID})
-	n.Copy = true
+// reserve takes memory for a copy on an engine other than the lease's and those
+// to avoid.
+func (r *streamRun) reserve(lease *book.Lease, avoid ...string) *book.Lease {
+	n := need(r.in.Call, r.in.Service, append(avoid, lease.Endpoint.ID))
+	n.Copy, n.Near = true, lease.Endpoint.DataCentre
 	copies, ok := r.s.Book.Take(time.Now(), n)
 	if !ok {
 		return nil
@@ -111,9 +113,9 @@
 	case r.pending:
 		releaseCopies(copies)
 		return Result{}, false // the step under way may still bring a source
-	case copies != nil && len(r.tried) < maxHandovers && r.s.Spend.Repeat(time.Now(), r.in.Call.Service):
+	case copies != nil && len(r.tried) < maxHandovers:
 		r.s.Meter.Retries.WithLabelValues(why).Inc()
-		r.resume(ctx, copies, Memory{Address: copies.Endpoint.Address, Handle: r.in.Call.ID}, nil)
+		r.resume(ctx, copies, Memory{Address: copies.Endpoint.Address, Handle: r.in.Call.ID})
 		return Result{}, false
 	}
 	releaseCopies(copies)
@@ -124,47 +126,84 @@
 }
 
 // resume sends the stream to the engine of the lease, which holds its memory.
-// Its copies go to a further engine. instead runs if that engine refuses.
-func (r *streamRun) resume(ctx context.Context, at *book.Lease, memory Memory, instead func() opened) {
+// Its copies go to a further engine.
+func (r *streamRun) resume(ctx context.Context, at *book.Lease, memory Memory) {
 	r.pending = true
 	r.tried = append(r.tried, at.Endpoint.ID)
-	after, number := r.lastID, len(r.tried)
+	after := r.lastID
 	go func() {
-		src, a := r.s.open(ctx, at, r.copies(at), r.shipment(after, &memory))
-		if src == nil && instead != nil {
-			r.s.logAttempt(r.in.Call, a, number)
-			r.next <- instead()
+		if !r.spend(ctx) {
+			at.Release(time.Now(), outcomeNone)
+			r.next <- opened{refused: ReasonBusy}
 			return
 		}
+		src, a := r.s.open(ctx, at, r.copies(at), r.shipment(after, &memory))
 		r.next <- opened{source: src, attempt: a}
 	}()
 }
 
+// spend takes a repeat from the budget, waiting a little for one: a stream that
+// goes on late is worth more than one that is cut.
+func (r *streamRun) spend(ctx context.Context) bool {
+	for limit := time.Now().Add(budgetPatience); ; time.Sleep(budgetPause) {
+		if r.s.Spend.Repeat(time.Now(), r.in.Call.Service) {
+			return true
+		}
+		if ctx.Err() != nil || time.Now().After(limit) {
+			return false
+		}
+	}
+}
+
 // handover takes a running generation to another engine while its own still
 // runs it: to the copy if there is one, else by moving its memory.
 func (r *streamRun) handover(ctx context.Context, why string) {
-	if !r.s.Spend.Repeat(time.Now(), r.in.Call.Service) {
-		r.pending = true // ask again when the budget has grown
-		go func() {
-			time.Sleep(budgetPause)
-			r.next <- opened{refused: ReasonBusy}
-		}()
-		return
+	src, after, number := r.source, r.lastID, len(r.tried)
+	copies := src.copies
+	if copies != nil && isLeaving(copies) {
+		copies = nil
 	}
-	src := r.source
 	r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID),
-		zap.String("why", why), zap.String("after", r.lastID), zap.Bool("copied", src.copies != nil))
-	move := func() opened { return r.move(ctx, src) }
-	if copies := src.copies; copies != nil && !isLeaving(copies) {
+		zap.String("why", why), zap.String("after", r.lastID), zap.Bool("copied", copies != nil))
+	if copies != nil {
 		src.copies = nil
-		r.resume(ctx, copies, Memory{Address: copies.Endpoint.Address, Handle: r.in.Call.ID}, move)
-		return
+		r.tried = append(r.tried, copies.Endpoint.ID)
 	}
 	r.pending = true
-	go func() { r.next <- move() }()
+	go func() {
+		if copies != nil {
+			src, a := r.fromCopy(ctx, copies, after)
+			if src != nil {
+				r.next <- opened{source: src}
+				return
+			}
+			r.s.logAttempt(r.in.Call, a, number)
+		}
+		r.next <- r.move(ctx, src)
+	}()
 }
 
-const budgetPause = 100 * time.Millisecond
+// fromCopy goes on at the engine that holds a copy of the memory.
+func (r *streamRun) fromCopy(ctx context.Context, copies *book.Lease, after string) (*source, attempt) {
+	if !r.s.Spend.Repeat(time.Now(), r.in.Call.Service) {
+		copies.Release(time.Now(), outcomeNone)
+		return nil, attempt{lease: copies, verdict: verdictNever, err: errNoBudget}
+	}
+	memory := Memory{Address: copies.Endpoint.Address, Handle: r.in.Call.ID}
+	return r.s.open(ctx, copies, r.copies(copies), r.shipment(after, &memory))
+}
+
+var errNoBudget = errors.New("the retry budget is used up")
+
+const (
+	budgetPause    = 100 * time.Millisecond
+	budgetPatience = 2 * time.Second // callers abandon a stream after a longer gap
+	// restBetween is the pause between two tries to leave an endpoint.
+	restBetween = 60 * time.Millisecond
+	// copyDelay is how long after its start a generation's copy begins to be of
+	// use: the prompt's memory takes some hundred milliseconds to send.
+	copyDelay = 300 * time.Millisecond
+)
 
 func isLeaving(l *book.Lease) bool {
 	select {
@@ -181,7 +220,7 @@
 	if !r.in.Service.Engine.Moves {
 		return opened{refused: ReasonNoEndpoint}
 	}
-	target := r.reserve(src.lease)
+	target := r.reserve(src.lease, r.avoid...)
 	if target == nil {
 		return opened{refused: ReasonNoEndpoint}
 	}
@@ -192,7 +231,7 @@
 			r.s.Log.Info("move_failed", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
 				zap.String("to", target.Endpoint.ID), zap.Bool("final", final), zap.Error(err))
 			target.Release(time.Now(), outcomeNone)
-			return opened{refused: ReasonLost}
+			return opened{refused: ReasonLost, avoid: target.Endpoint.ID}
 		}
 		if final {
 			return opened{moved: &Memory{Address: src.lease.Endpoint.Address, Handle: handle}, target: target}
@@ -205,5 +244,5 @@
 func (r *streamRun) goOn(ctx context.Context, memory Memory) {
 	target := r.target
 	r.target, r.moved = nil, nil
-	r.resume(ctx, target, memory, nil)
+	r.resume(ctx, target, memory)
 }
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -38,8 +38,11 @@
 	moving  atomic.Bool // the present source is being stopped by a final move
 	begun   bool
 	lastID  string
-	last    int64 // lastID as a number, -1 if it is none
+	last    int64    // lastID as a number, -1 if it is none
+	avoid   []string // engines that took no copy of the memory
 	stall   *time.Timer
+	rest    *time.Timer // fires when the source may be left
+	resting bool
 	failure *attempt // an endpoint's own failure
 	reason  Reason
 	first   time.Time // of the first event
@@ -52,6 +55,7 @@
 	moved   *Memory
 	target  *book.Lease // of a moved memory
 	refused Reason      // no place was found
+	avoid   string      // an engine that took no copy
 }
 
 // stream serves a call that is answered by events.
@@ -60,7 +64,7 @@
 	defer cancel()
 	r := &streamRun{
 		s: s, in: in, state: claim.New(in.Call.Kind.Repeatable()), next: make(chan opened, 1),
-		lastID: in.Call.LastEventID, last: number(in.Call.LastEventID), stall: time.NewTimer(time.Hour),
+		lastID: in.Call.LastEventID, last: number(in.Call.LastEventID), stall: time.NewTimer(time.Hour), rest: time.NewTimer(time.Hour),
 	}
 	defer r.stop()
 	r.start(ctx)
@@ -76,6 +80,7 @@
 // context; its source is closed when it reports.
 func (r *streamRun) stop() {
 	r.stall.Stop()
+	r.rest.Stop()
 	if r.source != nil {
 		r.source.close(time.Now(), outcomeNone)
 	}
@@ -97,7 +102,7 @@
 	var leaving <-chan struct{}
 	if r.source != nil {
 		events = r.source.events
-		if !r.pending && r.moved == nil && r.canLeave() {
+		if !r.pending && !r.resting && r.moved == nil && r.canLeave() {
 			leaving = r.source.lease.Leaving()
 		}
 	}
@@ -109,6 +114,8 @@
 	case o := <-r.next:
 		r.pending = false
 		return r.proceed(ctx, o)
+	case <-r.rest.C:
+		r.resting = false
 	case <-r.stall.C:
 		return r.stalled(ctx)
 	case <-ctx.Done():
@@ -174,7 +181,8 @@
 	}
 	r.s.Log.Info("stream_silent", zap.String("id", r.in.Call.ID), zap.String("endpoint", r.source.lease.Endpoint.ID),
 		zap.String("after", r.lastID))
-	if !r.canRecover() {
+	if !r.canRecover() || !r.s.Spend.Left(time.Now(), r.in.Call.Service) {
+		r.arm()
 		return Result{}, false // the endpoint may still go on; nothing else could
 	}
 	return r.lose(ctx, outcomeFailed, "silent")
@@ -194,6 +202,11 @@
 		return Result{}, false
 	case o.refused != ReasonNone:
 		r.reason = o.refused
+		r.moving.Store(false)
+		r.pauseLeaving(restBetween)
+		if o.avoid != "" {
+			r.avoid = append(r.avoid, o.avoid)
+		}
 	default:
 		r.s.logAttempt(r.in.Call, o.attempt, len(r.tried))
 		r.note(o.attempt)
@@ -207,6 +220,12 @@
 	return r.end(r.reason), true
 }
 
+// pauseLeaving keeps the source for a while, also if its endpoint leaves.
+func (r *streamRun) pauseLeaving(d time.Duration) {
+	r.resting = true
+	r.rest.Reset(d)
+}
+
 // note records what a failed send proves.
 func (r *streamRun) note(a attempt) {
 	switch a.verdict {
@@ -259,7 +278,8 @@
 		r.in.Sink.Begin(src.answer)
 		r.state = r.state.WithOffer().WithAccept()
 	}
-	r.source, r.moved = src, nil
+	r.source, r.moved, r.avoid = src, nil, nil
+	r.pauseLeaving(copyDelay)
 	r.moving.Store(false)
 	r.arm()
 }
--- a/internal/router/spend/spend.go
+++ b/internal/router/spend/spend.go
@@ -51,15 +51,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	firsts, repeats := w.sums()
-	most := b.cfg.Ratio*float64(firsts) + float64(b.cfg.Allowance)/float64(max(1, b.cfg.Entries()))
-	if float64(repeats+1) > most {
+	if !b.left(w) {
 		return false
 	}
 	w.repeats[w.newest%buckets]++
 	return true
 }
 
+// Left reports whether a repeat would be allowed.
+func (b *Budget) Left(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.window(now, service))
+}
+
+func (b *Budget) left(w *window) bool {
+	firsts, repeats := w.sums()
+	most := b.cfg.Ratio*float64(firsts) + float64(b.cfg.Allowance)/float64(max(1, b.cfg.Entries()))
+	return float64(repeats+1) <= most
+}
+
 func (w *window) sums() (firsts, repeats int) {
 	for i := range buckets {
 		firsts += w.firsts[i]
