Engines are ranked by prompts still unread

Cause: first tokens waited behind other prompts while engines with free memory were preferred; p50 of grade checks was 640 ms for 160 ms of reading.

--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -21,8 +21,13 @@
 	// plainQueue is how many calls for each slot of a plain endpoint may be placed.
 	plainQueue = 2.0
 
-	regionPenalty = 0.20 // of an endpoint's capacity, for another region's
-	centrePenalty = 0.04 // for another data centre of the same region
+	// tokenWeight and unreadWeight make the cost of an engine about the time to
+	// the first token: unread prompts are waited for, running calls slow steps down.
+	tokenWeight  = 0.5
+	unreadWeight = 3.0
+
+	regionPenalty = 0.10 // of an endpoint's capacity, for another region's
+	centrePenalty = 0.02 // for another data centre of the same region
 	copyPenalty   = 0.50 // for a copy in another data centre than its source
 
 	peerLoadAge = 2 * time.Second // a silent peer's load counts for so long
@@ -41,9 +46,16 @@
 type Load struct {
 	Calls  int
 	Tokens int // engine memory
+	Unread int // tokens of prompts that are not yet read: what a new call waits for
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{l.Calls + o.Calls, l.Tokens + o.Tokens, l.Unread + o.Unread}
 }
 
-func (l Load) plus(o Load) Load { return Load{l.Calls + o.Calls, l.Tokens + o.Tokens} }
+func (l Load) minus(o Load) Load {
+	return Load{l.Calls - o.Calls, l.Tokens - o.Tokens, l.Unread - o.Unread}
+}
 
 // Config is what a Book depends on.
 type Config struct {
@@ -96,6 +108,7 @@
 	Service       string
 	Regions       []string // empty for everywhere
 	Tokens        int      // engine memory that the call will hold
+	Prompt        int      // tokens to read before the first one is made
 	Memory        int      // of one engine of the service, 0 for a plain service
 	ColdPerSecond float64  // calls that a cold endpoint bears, 0 for no limit
 	Exclude       []string // endpoint IDs
@@ -131,12 +144,19 @@
 	l.once.Do(func() { l.book.release(now, l, outcome) })
 }
 
+// Started records that the endpoint has read the call's prompt.
+func (l *Lease) Started() {
+	l.book.mu.Lock()
+	defer l.book.mu.Unlock()
+	l.entry.mine.Unread -= l.load.Unread
+	l.load.Unread = 0
+}
+
 func (b *Book) release(now time.Time, l *Lease, outcome Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := l.entry
-	e.mine.Calls -= l.load.Calls
-	e.mine.Tokens -= l.load.Tokens
+	e.mine = e.mine.minus(l.load)
 	e.learn(now, outcome)
 	if e.removed && e.mine == (Load{}) && b.endpoints[l.Endpoint.ID] == e {
 		delete(b.endpoints, l.Endpoint.ID)
@@ -193,9 +213,9 @@
 }
 
 func (b *Book) place(now time.Time, e *entry, need Need) *Lease {
-	load := Load{Calls: 1, Tokens: need.Tokens}
+	load := Load{Calls: 1, Tokens: need.Tokens, Unread: need.Prompt}
 	if need.Copy {
-		load.Calls = 0
+		load.Calls, load.Unread = 0, 0
 	} else {
 		e.sent = append(e.sent, now)
 	}
@@ -263,7 +283,7 @@
 	load := e.mine.plus(b.peerLoad(now, e.endpoint.ID))
 	cost := greyPenalty * max(0, e.grey-greyTolerated)
 	if need.Memory > 0 {
-		cost += float64(load.Tokens) / float64(need.Memory)
+		cost += (tokenWeight*float64(load.Tokens) + unreadWeight*float64(load.Unread)) / float64(need.Memory)
 	} else {
 		cost += float64(load.Calls) / float64(max(1, e.endpoint.Slots))
 	}
--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -30,7 +30,7 @@
 		Service: call.Service, Regions: call.Regions, Exclude: exclude, ColdPerSecond: service.ColdPerSecond,
 	}
 	if service.Engine != nil {
-		n.Memory = service.Engine.MemoryTokens
+		n.Memory, n.Prompt = service.Engine.MemoryTokens, call.PromptTokens
 		n.Tokens = call.PromptTokens + int(heldShare*float64(call.Tokens()-call.PromptTokens))
 	}
 	return n
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -75,6 +75,9 @@
 	Outcome    claim.Outcome
 	Reason     Reason
 	RetryAfter time.Duration // for calls that did not run, 0 for none
+	FirstEvent time.Duration // of a stream, since the call arrived
+	LongestGap time.Duration // between two events of a stream
+	Endpoints  int           // that the call was sent to
 }
 
 // Reason tells why a call was not answered by an endpoint.
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -45,7 +45,10 @@
 	resting bool
 	failure *attempt // an endpoint's own failure
 	reason  Reason
-	first   time.Time // of the first event
+	newest  time.Time // arrival of the newest event
+
+	firstEvent time.Duration // since the call arrived
+	longestGap time.Duration
 }
 
 // opened reports a step: a new source, a moved memory, or neither.
@@ -71,6 +74,7 @@
 	for {
 		result, done := r.step(ctx)
 		if done {
+			result.FirstEvent, result.LongestGap, result.Endpoints = r.firstEvent, r.longestGap, len(r.tried)
 			return result
 		}
 	}
@@ -159,16 +163,27 @@
 		return r.end(ReasonCallerGone), true
 	}
 	now := time.Now()
-	if r.first.IsZero() {
-		r.first = now
-		r.s.Meter.FirstToken.Observe(now.Sub(r.in.Call.Arrived).Seconds())
-	}
+	r.measure(now)
 	r.lastID, r.last = it.id, at
 	r.state = r.state.WithFrame(r.state.Relayed())
 	r.arm()
 	return Result{}, false
 }
 
+// measure records when events come.
+func (r *streamRun) measure(now time.Time) {
+	if r.newest.IsZero() {
+		r.firstEvent = now.Sub(r.in.Call.Arrived)
+		r.s.Meter.FirstToken.Observe(r.firstEvent.Seconds())
+		r.source.lease.Started()
+	} else {
+		gap := now.Sub(r.newest)
+		r.longestGap = max(r.longestGap, gap)
+		r.s.Meter.TokenGap.Observe(gap.Seconds())
+	}
+	r.newest = now
+}
+
 // arm restarts the watch for a source that went silent.
 func (r *streamRun) arm() {
 	r.stall.Reset(max(leastStall, stallGaps*r.in.Call.Gap))
