Generations move within their region, one at a time from an endpoint; no standing copies

Cause: of 140 logged moves none between regions ended within a notice, while moves inside a data centre took 0.2 s each, queued on the engine's link; a standing copy of each generation filled engines to 75 to 85 per cent and their links, so that moves found no room. The last part of a move, during which the stream stands still, waited behind first parts of others. Ruled out: copies that hold a run at one target (runs without a copy were refused as well); too little time (a notice is 1.5 to 2.1 s, a move 0.2 s).

--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -1,6 +1,5 @@
 // Package book knows the endpoints of direct serving and what work is placed on
-// each: this process's own, what peers report, and what is promised to copies of
-// running generations. It decides where a call goes, and which calls wait. It
+// each: this process's own and what peers report. It decides where a call goes, and which calls wait. It
 // does no input or output.
 package book
 
@@ -26,9 +25,13 @@
 	tokenWeight  = 0.5
 	unreadWeight = 3.0
 
-	regionPenalty = 0.10 // of an endpoint's capacity, for another region's
+	regionPenalty = 0.5  // of an endpoint's capacity, for another region's
 	centrePenalty = 0.02 // for another data centre of the same region
-	copyPenalty   = 0.50 // for a copy in another data centre than its source
+	queuePenalty  = 0.05 // for each move that the new one queues behind
+	movePenalty   = 1.0  // for a move to another data centre: it takes twice as long
+
+	runSpread  = 0.01
+	moveSpread = 0.1
 
 	peerLoadAge = 2 * time.Second // a silent peer's load counts for so long
 	coldWindow  = time.Second
@@ -47,14 +50,15 @@
 	Calls  int
 	Tokens int // engine memory
 	Unread int // tokens of prompts that are not yet read: what a new call waits for
+	Moves  int // generations that are on their way to it
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{l.Calls + o.Calls, l.Tokens + o.Tokens, l.Unread + o.Unread}
+	return Load{l.Calls + o.Calls, l.Tokens + o.Tokens, l.Unread + o.Unread, l.Moves + o.Moves}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{l.Calls - o.Calls, l.Tokens - o.Tokens, l.Unread - o.Unread}
+	return Load{l.Calls - o.Calls, l.Tokens - o.Tokens, l.Unread - o.Unread, l.Moves - o.Moves}
 }
 
 // Config is what a Book depends on.
@@ -112,10 +116,19 @@
 	Memory        int      // of one engine of the service, 0 for a plain service
 	ColdPerSecond float64  // calls that a cold endpoint bears, 0 for no limit
 	Exclude       []string // endpoint IDs
-	Copy          bool     // only a copy of a running generation: memory, no slot
-	Near          string   // data centre to be close to, this process's own if empty
+	Purpose       Purpose
+	From          endpt.Endpoint // of a move: the engine that the generation leaves
 }
 
+// Purpose is what an endpoint is asked for.
+type Purpose uint8
+
+// The purposes.
+const (
+	PurposeRun  Purpose = iota // run a call from its beginning
+	PurposeMove                // take over a running generation with its memory
+)
+
 // Lease is work placed on one endpoint until Release.
 type Lease struct {
 	Endpoint endpt.Endpoint
@@ -144,12 +157,14 @@
 	l.once.Do(func() { l.book.release(now, l, outcome) })
 }
 
-// Started records that the endpoint has read the call's prompt.
+// Started records that the endpoint has read the call's prompt, or has the
+// generation's memory.
 func (l *Lease) Started() {
 	l.book.mu.Lock()
 	defer l.book.mu.Unlock()
 	l.entry.mine.Unread -= l.load.Unread
-	l.load.Unread = 0
+	l.entry.mine.Moves -= l.load.Moves
+	l.load.Unread, l.load.Moves = 0, 0
 }
 
 func (b *Book) release(now time.Time, l *Lease, outcome Outcome) {
@@ -194,7 +209,7 @@
 		if !b.admits(now, e, need) {
 			continue
 		}
-		cost := b.cost(now, e, need) + tieBreak(e.endpoint.ID, offset)
+		cost := b.cost(now, e, need) + need.Purpose.spread()*tieBreak(e.endpoint.ID, offset)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -205,17 +220,26 @@
 	return b.place(now, best, need), true
 }
 
-// tieBreak is a number below any difference of load, different for each call.
+// spread is how far chance goes before load. Generations leave an endpoint all
+// at once, from processes that do not yet know each other's choices.
+func (p Purpose) spread() float64 {
+	if p == PurposeRun {
+		return runSpread
+	}
+	return moveSpread
+}
+
+// tieBreak is a number in [0, 1), different for each call.
 func tieBreak(id string, offset uint64) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	return float64((h.Sum64()^offset)*0x9E3779B97F4A7C15>>40) / (1 << 24) * 0.01
+	return float64((h.Sum64()^offset)*0x9E3779B97F4A7C15>>40) / (1 << 24)
 }
 
 func (b *Book) place(now time.Time, e *entry, need Need) *Lease {
 	load := Load{Calls: 1, Tokens: need.Tokens, Unread: need.Prompt}
-	if need.Copy {
-		load.Calls, load.Unread = 0, 0
+	if need.Purpose == PurposeMove {
+		load.Unread, load.Moves = 0, 1
 	} else {
 		e.sent = append(e.sent, now)
 	}
@@ -233,6 +257,8 @@
 		return false
 	case len(need.Regions) > 0 && !slices.Contains(need.Regions, ep.Region):
 		return false
+	case need.Purpose == PurposeMove && ep.Region != need.From.Region:
+		return false // memory does not reach another region within an endpoint's notice
 	}
 	return !slices.Contains(need.Exclude, ep.ID)
 }
@@ -242,12 +268,12 @@
 	if !b.usable(now, e, need) {
 		return false
 	}
-	if !need.Copy && need.ColdPerSecond > 0 && !b.coldAdmits(now, e, need.ColdPerSecond) {
+	if need.Purpose == PurposeRun && need.ColdPerSecond > 0 && !b.coldAdmits(now, e, need.ColdPerSecond) {
 		return false
 	}
 	load := e.mine.plus(b.peerLoad(now, e.endpoint.ID))
 	if load == (Load{}) {
-		return true
+		return true // a call larger than an engine is refused by it
 	}
 	if need.Memory == 0 {
 		return float64(load.Calls) < plainQueue*float64(e.endpoint.Slots)
@@ -288,6 +314,9 @@
 		cost += float64(load.Calls) / float64(max(1, e.endpoint.Slots))
 	}
 	cost += b.distance(e, need)
+	if need.Purpose == PurposeMove {
+		cost += queuePenalty * float64(load.Moves)
+	}
 	if now.Before(e.suspect) {
 		cost += suspectPenalty
 	}
@@ -297,13 +326,13 @@
 	return cost
 }
 
-// distance is the penalty for the way to the endpoint. Copies are as far as the
-// engine that they are copied from: between data centres they take twice as long.
+// distance is the penalty for the way to the endpoint. What counts for a move is
+// the way from the engine that it leaves.
 func (b *Book) distance(e *entry, need Need) float64 {
 	switch {
-	case need.Near != "" && e.endpoint.DataCentre != need.Near:
-		return copyPenalty
-	case need.Near != "":
+	case need.Purpose == PurposeMove && e.endpoint.DataCentre != need.From.DataCentre:
+		return movePenalty
+	case need.Purpose == PurposeMove:
 		return 0
 	case e.endpoint.Region != b.cfg.Region:
 		return regionPenalty
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -45,7 +45,6 @@
 	Left   time.Duration // the endpoint stops work after this
 	After  string        // resume after this event, empty for the beginning
 	Memory *Memory       // go on from a generation's memory, nil to read the prompt
-	Backup string        // address of the engine that receives copies, empty for none
 }
 
 // Memory is where a generation's memory lies.
@@ -109,10 +108,13 @@
 }
 
 // Server is safe for concurrent use.
-type Server struct{ Deps }
+type Server struct {
+	Deps
+	lanes *lanes
+}
 
 // New returns a server.
-func New(d Deps) *Server { return &Server{d} }
+func New(d Deps) *Server { return &Server{Deps: d, lanes: newLanes()} }
 
 // Input is one call with all that is needed to send it.
 type Input struct {
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -16,7 +16,6 @@
 // source is one endpoint's answer to a stream, read event by event.
 type source struct {
 	lease  *book.Lease
-	copies *book.Lease // where the endpoint copies the generation's memory, nil for nowhere
 	answer *Answer
 	events chan item
 	cancel context.CancelFunc
@@ -28,12 +27,8 @@
 	err error // the last item: io.EOF for a complete end
 }
 
-// open sends the shipment and returns its answer as a source. copies is an
-// engine that takes copies of the memory, nil for none.
-func (s *Server) open(ctx context.Context, lease, copies *book.Lease, ship Shipment) (*source, attempt) {
-	if copies != nil {
-		ship.Backup = copies.Endpoint.Address
-	}
+// open sends the shipment and returns its answer as a source.
+func (s *Server) open(ctx context.Context, lease *book.Lease, ship Shipment) (*source, attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	a := attempt{lease: lease}
 	a.answer, a.err = s.Upstream.Send(ctx, lease.Endpoint, ship)
@@ -42,10 +37,9 @@
 		s.finishFailed(ctx, &a)
 		cancel()
 		lease.Release(time.Now(), a.lesson(ctx))
-		releaseCopies(copies)
 		return nil, a
 	}
-	src := &source{lease: lease, copies: copies, answer: a.answer, cancel: cancel, events: make(chan item, sourceBuffer)}
+	src := &source{lease: lease, answer: a.answer, cancel: cancel, events: make(chan item, sourceBuffer)}
 	go src.read(ctx)
 	return src, a
 }
@@ -92,10 +86,9 @@
 func (src *source) close(now time.Time, outcome book.Outcome) {
 	src.cancel()
 	src.lease.Release(now, outcome)
-	releaseCopies(src.copies)
 }
 
-func releaseCopies(l *book.Lease) {
+func release(l *book.Lease) {
 	if l != nil {
 		l.Release(time.Now(), book.OutcomeNone)
 	}
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -88,14 +88,14 @@
 	if r.source != nil {
 		r.source.close(time.Now(), outcomeNone)
 	}
-	releaseCopies(r.target)
+	release(r.target)
 	if r.pending {
 		go func() {
 			o := <-r.next
 			if o.source != nil {
 				o.source.close(time.Now(), outcomeNone)
 			}
-			releaseCopies(o.target)
+			release(o.target)
 		}()
 	}
 }
@@ -150,7 +150,7 @@
 	}
 	r.s.Log.Info("stream_broken", zap.String("id", r.in.Call.ID), zap.String("endpoint", r.source.lease.Endpoint.ID),
 		zap.String("after", r.lastID), zap.Error(it.err))
-	return r.lose(ctx, outcomeFailed, "broken")
+	return r.lose(ctx, outcomeFailed)
 }
 
 // forward passes an event on, unless the caller has it from another source.
@@ -196,11 +196,11 @@
 	}
 	r.s.Log.Info("stream_silent", zap.String("id", r.in.Call.ID), zap.String("endpoint", r.source.lease.Endpoint.ID),
 		zap.String("after", r.lastID))
-	if !r.canRecover() || !r.s.Spend.Left(time.Now(), r.in.Call.Service) {
+	if r.in.Call.Kind != desc.KindResumableStream || !r.s.Spend.Left(time.Now(), r.in.Call.Service) {
 		r.arm()
 		return Result{}, false // the endpoint may still go on; nothing else could
 	}
-	return r.lose(ctx, outcomeFailed, "silent")
+	return r.lose(ctx, outcomeFailed)
 }
 
 // proceed takes the report of a step.
@@ -219,7 +219,9 @@
 		r.reason = o.refused
 		r.moving.Store(false)
 		r.pauseLeaving(restBetween)
-		if o.avoid != "" {
+		if o.avoid == "" {
+			r.avoid = nil // all refused: ask them again, as room comes and goes
+		} else {
 			r.avoid = append(r.avoid, o.avoid)
 		}
 	default:
@@ -294,8 +296,8 @@
 		r.state = r.state.WithOffer().WithAccept()
 	}
 	r.source, r.moved, r.avoid = src, nil, nil
-	r.pauseLeaving(copyDelay)
 	r.moving.Store(false)
+	r.pauseLeaving(settle)
 	r.arm()
 }
 
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -31,7 +31,7 @@
 	Address     string            `msgpack:"a"` // of the sender, IP:port
 	Incarnation uint64            `msgpack:"i"`
 	Sequence    uint64            `msgpack:"s"`
-	Loads       map[string][3]int `msgpack:"l"` // calls, tokens and unread tokens by endpoint ID
+	Loads       map[string][4]int `msgpack:"l"` // the fields of book.Load by endpoint ID
 	Leaving     map[string]int64  `msgpack:"g"` // birth by endpoint ID
 	Members     []string          `msgpack:"m"` // addresses of live peers
 }
@@ -61,7 +61,7 @@
 	seeds    []string
 	leaving  map[string]leaving
 	sequence uint64
-	last     map[string][3]int // loads of the newest message
+	last     map[string][4]int // loads of the newest message
 	changed  bool              // something to tell besides loads
 }
 
@@ -106,9 +106,9 @@
 // Outgoing returns a message and the peers to send it to, none if there is
 // nothing new to tell.
 func (g *Group) Outgoing(now time.Time) (to []string, raw []byte, err error) {
-	loads := map[string][3]int{}
+	loads := map[string][4]int{}
 	for id, l := range g.cfg.Book.Loads() {
-		loads[id] = [3]int{l.Calls, l.Tokens, l.Unread}
+		loads[id] = [4]int{l.Calls, l.Tokens, l.Unread, l.Moves}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -133,7 +133,7 @@
 	return to, raw, err
 }
 
-func sameLoads(a, b map[string][3]int) bool {
+func sameLoads(a, b map[string][4]int) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -207,7 +207,7 @@
 	}
 	loads := make(map[string]book.Load, len(m.Loads))
 	for id, l := range m.Loads {
-		loads[id] = book.Load{Calls: l[0], Tokens: l[1], Unread: l[2]}
+		loads[id] = book.Load{Calls: l[0], Tokens: l[1], Unread: l[2], Moves: l[3]}
 	}
 	g.cfg.Book.SetPeerLoad(now, m.Address, loads)
 	for id, born := range m.Leaving {
