A call for an endpoint that has left its address is sent to another one

Cause: after a data centre's cold return its engines answer 421 under new IDs; plans, which may be sent to one endpoint only, were refused though none had seen them.

--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -147,6 +147,7 @@
 	OutcomeGood                    // the endpoint answered
 	OutcomeFailed                  // it answered with a failure or broke off
 	OutcomeUnusable                // it could not be reached
+	OutcomeGone                    // another endpoint has its address
 )
 
 // Leaving is closed once the endpoint gets no new work.
@@ -187,6 +188,8 @@
 		e.grey -= greyWeight * e.grey
 	case OutcomeFailed:
 		e.grey += greyWeight * (1 - e.grey)
+	case OutcomeGone:
+		e.leave()
 	case OutcomeUnusable:
 		e.failures++
 		e.suspect = now.Add(min(suspectMost, suspectFirst<<min(suspectShift, e.failures-1)))
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -58,6 +58,7 @@
 	Status   int
 	Header   http.Header
 	NeverRan bool // the endpoint promises that the call did not run and never will
+	Gone     bool // another endpoint answered: the one that was meant has left its address
 	Proven   bool // it carries the endpoint's proof and is framed as its own
 	Body     Body
 }
--- a/internal/router/serve/whole.go
+++ b/internal/router/serve/whole.go
@@ -221,8 +221,11 @@
 	return errors.As(err, &broken) && broken.Kind == pipe.KindUnsent
 }
 
-// unsent reports whether the attempt never reached an endpoint.
-func (a attempt) unsent() bool { return unsent(a.err) }
+// unsent reports whether the attempt never reached the endpoint that was meant.
+func (a attempt) unsent() bool { return unsent(a.err) || a.gone() }
+
+// gone reports whether another endpoint answered in place of the one meant.
+func (a attempt) gone() bool { return a.answer != nil && a.answer.Gone }
 
 // lesson is what an attempt taught about its endpoint. An attempt that the
 // caller or a faster one ended teaches nothing.
@@ -230,6 +233,8 @@
 	switch {
 	case a.err != nil && ctx.Err() != nil:
 		return book.OutcomeNone
+	case a.gone():
+		return book.OutcomeGone
 	case a.unsent():
 		return book.OutcomeUnusable
 	case a.verdict == verdictLost || a.verdict == verdictFailed:
