Entries take turns when they move generations from one engine

Cause: streams stood still (up to 0.4 s, objective 0.18 s) while the last part of a move queued behind the moves that other entries began at the same moment. Each entry now waits as long as the moves of those before it should take, from the placed load they report and the engine's link.

--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -37,8 +37,8 @@
 type Engine struct {
 	Slots        int
 	MemoryTokens int
-	Moves        bool // running generations can be moved with their memory
-	Backups      bool // running generations can be copied to a second engine
+	Moves        bool          // running generations can be moved with their memory
+	MoveTime     time.Duration // to send the memory of one token to an engine of the same data centre
 }
 
 // Service is a group of alike endpoints.
--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -65,7 +65,7 @@
 type Config struct {
 	DataCentre string
 	Region     string
-	Name       string       // of this process, for its part of small allowances
+	Name       string       // of this process, as peers know it
 	Entries    func() int   // processes that share allowances, at least 1
 	Draw       func() int64 // randomness that breaks ties
 }
@@ -367,6 +367,19 @@
 	b.serveWaiting(now)
 }
 
+// Ahead sums what the processes whose names sort before this one's have placed
+// on an endpoint. Processes that must take turns without talking use it.
+func (b *Book) Ahead(now time.Time, id string) (sum Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, p := range b.peers {
+		if name < b.cfg.Name && now.Sub(p.at) <= peerLoadAge {
+			sum = sum.plus(p.loads[id])
+		}
+	}
+	return sum
+}
+
 // Loads returns what this process has placed, by endpoint.
 func (b *Book) Loads() map[string]Load {
 	b.mu.Lock()
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -134,12 +134,37 @@
 	settle = 300 * time.Millisecond
 )
 
+// awaitTurn lets the moves of other processes from the same endpoint go first, in
+// the order of the processes' names, for as long as they should take.
+func (r *streamRun) awaitTurn(ctx context.Context, src *source) bool {
+	if r.waited {
+		return true
+	}
+	r.waited = true
+	ahead := r.s.Book.Ahead(time.Now(), src.lease.Endpoint.ID)
+	turn := time.NewTimer(min(longestTurn, time.Duration(ahead.Tokens)*r.in.Service.Engine.MoveTime))
+	defer turn.Stop()
+	select {
+	case <-turn.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// longestTurn bounds the wait for other processes: endpoints may leave within
+// one and a half seconds of their notice.
+const longestTurn = 600 * time.Millisecond
+
 // move copies the memory while the run goes on, then stops the run and copies
 // the rest. The stream goes on at the target once the source's events are read.
 func (r *streamRun) move(ctx context.Context, src *source) opened {
 	if !r.in.Service.Engine.Moves {
 		return opened{refused: ReasonNoEndpoint}
 	}
+	if !r.awaitTurn(ctx, src) {
+		return opened{refused: ended(ctx)}
+	}
 	leave, ok := r.s.lanes.enter(ctx, src.lease.Endpoint.ID)
 	if !ok {
 		return opened{refused: ended(ctx)}
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -43,6 +43,7 @@
 	stall   *time.Timer
 	rest    *time.Timer // fires when the source may be left
 	resting bool
+	waited  bool     // for the moves of other processes from the present source
 	failure *attempt // an endpoint's own failure
 	reason  Reason
 	newest  time.Time // arrival of the newest event
@@ -297,6 +298,7 @@
 	}
 	r.source, r.moved, r.avoid = src, nil, nil
 	r.moving.Store(false)
+	r.waited = false
 	r.pauseLeaving(settle)
 	r.arm()
 }
