--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -154,7 +154,7 @@
 
 // longestTurn bounds the wait for other processes: endpoints may leave within
 // one and a half seconds of their notice.
-const longestTurn = 600 * time.Millisecond
+const longestTurn = 800 * time.Millisecond
 
 // move copies the memory while the run goes on, then stops the run and copies
 // the rest. The stream goes on at the target once the source's events are read.
