Engines are asked themselves while the registry is away and no peer follows it

Cause: notices given during an outage of the registry were missed and all generations on those engines cut.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,8 @@
 	// Watch returns the changes after a revision, as soon as there are any, and the
 	// revision to go on from. It may return none after a while.
 	Watch(ctx context.Context, after uint64) ([]Event, uint64, error)
+	// Leaving asks an endpoint itself whether it is about to leave.
+	Leaving(ctx context.Context, e endpt.Endpoint) (bool, error)
 }
 
 // Snapshot is a whole listing.
@@ -71,6 +74,11 @@
 	// comeback is how long expired endpoints may take to list themselves again.
 	comeback = 2 * time.Second
 
+	// askPace is how often endpoints that run calls are asked themselves while the
+	// registry is away. Their notices are at least one and a half seconds.
+	askPace    = 300 * time.Millisecond
+	askTimeout = 300 * time.Millisecond
+
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 )
@@ -82,6 +90,9 @@
 	Tables *live.Holder
 	Log    *zap.Logger
 	Seen   func(book.Change) // told of each change of an endpoint, may be nil
+	// Informed reports whether a peer passes on what the registry says, so that
+	// endpoints need not be asked. nil means no.
+	Informed func(now time.Time) bool
 }
 
 // Follower follows one registry.
@@ -89,7 +100,8 @@
 	Deps
 	at      uint64
 	listed  bool
-	failing time.Time // since then, zero if the registry answers
+	known   atomic.Bool               // listed at least once
+	failing atomic.Pointer[time.Time] // since then, nil if the registry answers
 	grace   time.Time
 	retry   time.Duration
 	heard   time.Time
@@ -98,8 +110,12 @@
 // New returns a follower. Run starts it.
 func New(d Deps) *Follower { return &Follower{Deps: d, retry: firstRetry} }
 
+// Answers reports whether the registry answered the last time it was asked.
+func (f *Follower) Answers() bool { return f.failing.Load() == nil && f.known.Load() }
+
 // Run follows the registry until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	go f.askEndpoints(ctx)
 	for ctx.Err() == nil {
 		pause := pace
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
@@ -140,6 +156,7 @@
 	now := time.Now()
 	f.answered(now)
 	f.listed, f.at = true, s.At
+	f.known.Store(true)
 	if s.Table != nil {
 		f.applyTable(s.Table)
 	}
@@ -207,8 +224,9 @@
 
 // failed notes a failure of the registry.
 func (f *Follower) failed(err error) {
-	if f.failing.IsZero() {
-		f.failing = time.Now()
+	if f.failing.Load() == nil {
+		now := time.Now()
+		f.failing.Store(&now)
 		f.Log.Warn("registry_lost", zap.Error(err), zap.Uint64("revision", f.at))
 	}
 }
@@ -216,17 +234,40 @@
 // answered ends an outage. Entries that expired in it get time to come back.
 func (f *Follower) answered(now time.Time) {
 	f.heard, f.retry = now, firstRetry
-	if f.failing.IsZero() {
+	since := f.failing.Swap(nil)
+	if since == nil {
 		return
 	}
-	lasted := now.Sub(f.failing)
-	f.failing = time.Time{}
+	lasted := now.Sub(*since)
 	if lasted >= outage {
 		f.grace = now.Add(comeback)
 	}
 	f.Log.Info("registry_back", zap.Duration("outage", lasted))
 }
 
+// askEndpoints finds out about endpoints that leave while the registry is away.
+func (f *Follower) askEndpoints(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, askPace)
+		if f.Answers() || f.Informed != nil && f.Informed(time.Now()) {
+			continue
+		}
+		for _, e := range f.Book.Busy() {
+			go f.ask(ctx, e)
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, e endpt.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	leaving, err := f.Source.Leaving(ctx, e)
+	if err != nil || !leaving {
+		return // an endpoint that cannot be asked shows in its calls
+	}
+	f.changed(f.Book.Leave(e.ID, e.Born))
+}
+
 // backoff returns the pause before the next try: doubled each time, with jitter
 // so that a fleet does not return at once.
 func (f *Follower) backoff() time.Duration {
--- a/internal/router/book/list.go
+++ b/internal/router/book/list.go
@@ -88,6 +88,19 @@
 	return Change{e.endpoint, WhatLeaving}
 }
 
+// Busy returns the engines that run generations of this process.
+func (b *Book) Busy() []endpt.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []endpt.Endpoint
+	for _, e := range b.endpoints {
+		if e.mine.Tokens > 0 && !e.left {
+			out = append(out, e.endpoint)
+		}
+	}
+	return out
+}
+
 // Remove records that the registry no longer lists an endpoint. With a grace it
 // stays usable until then, since its entry may have expired while the registry
 // was away.
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -33,6 +33,7 @@
 	Sequence    uint64            `msgpack:"s"`
 	Loads       map[string][4]int `msgpack:"l"` // the fields of book.Load by endpoint ID
 	Leaving     map[string]int64  `msgpack:"g"` // birth by endpoint ID
+	Follows     bool              `msgpack:"f"` // the sender's registry answers
 	Members     []string          `msgpack:"m"` // addresses of live peers
 }
 
@@ -42,6 +43,7 @@
 	incarnation uint64
 	sequence    uint64
 	lost        bool
+	follows     bool // its registry answers
 }
 
 // Config is what a Group is built from.
@@ -51,6 +53,7 @@
 	Seeds       []string
 	Book        *book.Book
 	Log         *zap.Logger
+	Follows     func() bool // whether this process's registry answers
 }
 
 // Group is this process's view of its peers. It is safe for concurrent use.
@@ -95,6 +98,19 @@
 	return count
 }
 
+// Informed reports whether a live peer's registry answers, so that what it says
+// of leaving endpoints reaches this process as well.
+func (g *Group) Informed(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if p.follows && now.Sub(p.heard) < lostAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // Left notes an endpoint that gets no new work, to be passed on.
 func (g *Group) Left(now time.Time, id string, born int64) {
 	g.mu.Lock()
@@ -128,7 +144,7 @@
 	g.sequence++
 	raw, err = msgpack.Marshal(message{
 		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Sequence: g.sequence,
-		Loads: loads, Leaving: g.recentlyLeft(), Members: g.live(now),
+		Loads: loads, Leaving: g.recentlyLeft(), Members: g.live(now), Follows: g.cfg.Follows(),
 	})
 	return to, raw, err
 }
@@ -236,7 +252,7 @@
 		g.changed = true
 	}
 	p.heard, p.lost = now, false
-	p.incarnation, p.sequence = m.Incarnation, m.Sequence
+	p.incarnation, p.sequence, p.follows = m.Incarnation, m.Sequence, m.Follows
 	for _, address := range m.Members {
 		if address != g.cfg.Address && g.peers[address] == nil {
 			g.peers[address] = &peer{heard: now.Add(-lostAfter)} // asked, not yet heard
