A process that drains refuses generations that it would have to cut

Now calls that usually take longer than what is left are refused, and from 2.6 s on all generations.

--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -112,10 +112,11 @@
 type Server struct {
 	Deps
 	lanes *lanes
+	usual *durations
 }
 
 // New returns a server.
-func New(d Deps) *Server { return &Server{Deps: d, lanes: newLanes()} }
+func New(d Deps) *Server { return &Server{Deps: d, lanes: newLanes(), usual: newDurations()} }
 
 // Input is one call with all that is needed to send it.
 type Input struct {
@@ -139,10 +140,28 @@
 		result = s.whole(ctx, in)
 	}
 	s.Meter.Outcomes.WithLabelValues(string(result.Outcome)).Inc()
-	s.Meter.CallTime.WithLabelValues(in.Call.Service).Observe(time.Since(began).Seconds())
+	took := time.Since(began)
+	s.Meter.CallTime.WithLabelValues(in.Call.Service).Observe(took.Seconds())
+	if result.Outcome == claim.OutcomeComplete {
+		s.usual.note(in.Call.Route, took)
+	}
 	return result
 }
 
+// FitsIn reports whether a call of the route usually ends within a time, or
+// surely does. Nothing is known of a route that has not answered yet: its
+// generations do not fit. The length of a generation is never sure.
+func (s *Server) FitsIn(call *desc.Call, limit time.Duration, sure bool) bool {
+	usual, longest, known := s.usual.of(call.Route)
+	switch {
+	case call.Kind == desc.KindStream:
+		return known && !sure && usual <= limit
+	case sure:
+		return longest <= limit
+	}
+	return usual <= limit
+}
+
 // ended returns the reason if the context is over.
 func ended(ctx context.Context) Reason {
 	switch ctx.Err() {
