--- a/internal/call/event/event.go
+++ b/internal/call/event/event.go
@@ -27,6 +27,7 @@
 	src  io.Reader
 	buf  []byte
 	from int // start of the first event not yet returned
+	seen int // bytes after from in which no event ends
 	err  error
 }
 
@@ -37,9 +38,9 @@
 // io.ErrUnexpectedEOF if the body ended inside an event.
 func (r *Reader) Next() (Event, error) {
 	for {
-		if end := boundary(r.buf[r.from:]); end > 0 {
+		if end := r.boundary(); end > 0 {
 			raw := r.buf[r.from : r.from+end]
-			r.from += end
+			r.from, r.seen = r.from+end, 0
 			return Event{ID: id(raw), Raw: raw}, nil
 		}
 		if r.err != nil {
@@ -76,17 +77,21 @@
 	return nil
 }
 
-// boundary returns the length of the first event with its blank line, or 0.
-func boundary(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+// boundary returns the length of the first event with its blank line, or 0. What
+// was searched before is not searched again.
+func (r *Reader) boundary() int {
+	b := r.buf[r.from:]
+	skip := max(0, r.seen-len("\r\n\r\n"))
+	lf := bytes.Index(b[skip:], []byte("\n\n"))
+	crlf := bytes.Index(b[skip:], []byte("\r\n\r\n"))
 	switch {
 	case lf < 0 && crlf < 0:
+		r.seen = len(b)
 		return 0
 	case crlf < 0 || (lf >= 0 && lf < crlf):
-		return lf + len("\n\n")
+		return skip + lf + len("\n\n")
 	}
-	return crlf + len("\r\n\r\n")
+	return skip + crlf + len("\r\n\r\n")
 }
 
 func id(raw []byte) string {
--- /dev/null
+++ b/internal/router/share/share_test.go
@@ -0,0 +1,163 @@
+package share
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+	"github.com/mimosalock/mimosalock/internal/router/book"
+)
+
+// fleet is a few groups whose messages are delivered by hand.
+type fleet struct {
+	groups map[string]*Group
+	books  map[string]*book.Book
+	cut    map[string]bool // addresses that hear nothing
+}
+
+func newFleet(addresses ...string) *fleet {
+	f := &fleet{groups: map[string]*Group{}, books: map[string]*book.Book{}, cut: map[string]bool{}}
+	for i, address := range addresses {
+		f.start(address, uint64(i+1), addresses[0])
+	}
+	return f
+}
+
+func (f *fleet) start(address string, incarnation uint64, seeds ...string) {
+	b := book.New(book.Config{DataCentre: "a1", Region: "a", Name: address, Entries: func() int { return 1 }})
+	b.Put(time.Now(), endpt.Endpoint{ID: "e", Born: 1, Service: "s", Address: "e:1", DataCentre: "a1", Region: "a", Slots: 4})
+	f.books[address] = b
+	f.groups[address] = New(Config{
+		Address: address, Incarnation: incarnation, Seeds: seeds, Book: b, Log: zap.NewNop(), Follows: func() bool { return address == "a" },
+	})
+}
+
+// round delivers what every group has to send.
+func (f *fleet) round(t *testing.T) {
+	t.Helper()
+	for from, g := range f.groups {
+		to, raw, err := g.Outgoing(time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, address := range to {
+			if f.cut[address] || f.cut[from] || f.groups[address] == nil {
+				continue
+			}
+			if err := f.groups[address].Receive(time.Now(), raw); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (f *fleet) rounds(t *testing.T, d time.Duration) {
+	t.Helper()
+	const step = 50 * time.Millisecond
+	for range d / step {
+		f.round(t)
+		time.Sleep(step)
+	}
+}
+
+func TestMembersFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d")
+		f.rounds(t, 3*time.Second)
+		for address, g := range f.groups {
+			if n := g.Processes(time.Now()); n != 4 {
+				t.Errorf("%s counts %d processes, want 4", address, n)
+			}
+		}
+	})
+}
+
+func TestLoadIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.rounds(t, 2*time.Second)
+		n := book.Need{Service: "s", Tokens: 900, Memory: 1000}
+		if _, ok := f.books["a"].Take(time.Now(), n); !ok {
+			t.Fatal("no room on an idle engine")
+		}
+		f.rounds(t, 100*time.Millisecond)
+		if _, ok := f.books["b"].Take(time.Now(), n); ok {
+			t.Fatal("the second process does not see the first one's call")
+		}
+	})
+}
+
+func TestLeavingIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.rounds(t, 2*time.Second)
+		f.groups["a"].Left(time.Now(), "e", 1)
+		f.rounds(t, 100*time.Millisecond)
+		for _, address := range []string{"b", "c"} {
+			if f.books[address].Usable(time.Now(), book.Need{Service: "s"}) != 0 {
+				t.Errorf("%s still uses an endpoint that leaves", address)
+			}
+		}
+	})
+}
+
+func TestInformed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.rounds(t, 2*time.Second)
+		expectInformed(t, f, "b", true) // "a" follows the registry
+		expectInformed(t, f, "a", false)
+		f.cut["b"] = true
+		f.rounds(t, lostAfter+time.Second)
+		expectInformed(t, f, "b", false)
+	})
+}
+
+func expectInformed(t *testing.T, f *fleet, address string, want bool) {
+	t.Helper()
+	if got := f.groups[address].Informed(time.Now()); got != want {
+		t.Fatalf("%s is informed %v, want %v", address, got, want)
+	}
+}
+
+func TestRestartedPeerIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		f.rounds(t, 5*time.Second)
+		f.start("b", 1<<60, "a") // its sequence begins again
+		if _, ok := f.books["b"].Take(time.Now(), book.Need{Service: "s", Tokens: 900, Memory: 1000}); !ok {
+			t.Fatal("no room on an idle engine")
+		}
+		f.rounds(t, 2*time.Second)
+		if _, ok := f.books["a"].Take(time.Now(), book.Need{Service: "s", Tokens: 900, Memory: 1000}); ok {
+			t.Fatal("the load of a restarted peer is not seen")
+		}
+	})
+}
+
+func TestHealedCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.rounds(t, 2*time.Second)
+		f.cut["c"] = true
+		f.rounds(t, 10*time.Second)
+		f.cut["c"] = false
+		f.rounds(t, 3*time.Second)
+		if live := f.groups["a"].live(time.Now()); !slices.Contains(live, "c") {
+			t.Fatalf("live peers after the cut healed: %v, want c among them", live)
+		}
+	})
+}
+
+func TestForeignMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a")
+		if err := f.groups["a"].Receive(time.Now(), []byte("GET / HTTP/1.1\r\n")); err == nil {
+			t.Fatal("a foreign datagram was taken")
+		}
+	})
+}
