--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,15 +20,24 @@
 
 // registry is a stand-in whose answers the test sets.
 type registry struct {
+	mu      sync.Mutex
 	listed  Snapshot
 	away    bool
 	gone    bool // the history is gone
 	events  chan []Event
 	leaving bool
-	at      uint64
+}
+
+// set changes what the registry answers.
+func (r *registry) set(change func(r *registry)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
 }
 
 func (r *registry) List(context.Context) (Snapshot, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.away {
 		return Snapshot{}, errAway
 	}
@@ -36,16 +46,21 @@
 }
 
 func (r *registry) Watch(ctx context.Context, after uint64) ([]Event, uint64, error) {
-	if r.away {
-		return nil, 0, errAway
-	}
-	if r.gone {
-		return nil, 0, ErrHistoryGone
+	var err error
+	r.set(func(r *registry) {
+		switch {
+		case r.away:
+			err = errAway
+		case r.gone:
+			err = ErrHistoryGone
+		}
+	})
+	if err != nil {
+		return nil, 0, err
 	}
 	select {
 	case e := <-r.events:
-		r.at = after + 1
-		return e, r.at, nil
+		return e, after + 1, nil
 	case <-time.After(100 * time.Millisecond):
 		return nil, after, nil
 	case <-ctx.Done():
@@ -53,7 +68,10 @@
 	}
 }
 
-func (r *registry) Leaving(context.Context, endpt.Endpoint) (bool, error) { return r.leaving, nil }
+func (r *registry) Leaving(context.Context, endpt.Endpoint) (leaving bool, err error) {
+	r.set(func(r *registry) { leaving = r.leaving })
+	return leaving, nil
+}
 
 type bench struct {
 	*registry
@@ -117,7 +135,7 @@
 	run(t, func(b *bench) {
 		b.events <- []Event{TablePut{table.New(table.Parts{Version: 9})}, TablePut{table.New(table.Parts{Version: 8})}}
 		time.Sleep(100 * time.Millisecond)
-		b.gone = true // lists the old version again
+		b.set(func(r *registry) { r.gone = true }) // lists the old version again
 		time.Sleep(time.Second)
 		if v := b.tables.Current().Version(); v != 9 {
 			t.Fatalf("version %d is in force, want 9", v)
@@ -139,10 +157,10 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				b.away = true
+				b.set(func(r *registry) { r.away = true })
 				time.Sleep(test.lasts)
 				b.expect(t, "in the outage", true)
-				b.away = false
+				b.set(func(r *registry) { r.away = false })
 				time.Sleep(1100 * time.Millisecond) // the longest pause between tries, with jitter
 				b.events <- []Event{EndpointGone{ID: "e"}}
 				time.Sleep(50 * time.Millisecond)
@@ -159,12 +177,12 @@
 
 func TestHistoryGone(t *testing.T) {
 	run(t, func(b *bench) {
-		b.registry.listed = Snapshot{Evacuated: []string{"a1"}, Endpoints: []endpt.Endpoint{endpoint()}, At: 50}
-		b.gone = true
+		b.set(func(r *registry) { r.listed = Snapshot{Evacuated: []string{"a1"}, Endpoints: []endpt.Endpoint{endpoint()}, At: 50} })
+		b.set(func(r *registry) { r.gone = true })
 		time.Sleep(time.Second)
 		b.expect(t, "after the new listing", false)
-		b.registry.listed.Evacuated = nil
-		b.gone = true
+		b.set(func(r *registry) { r.listed.Evacuated = nil })
+		b.set(func(r *registry) { r.gone = true })
 		time.Sleep(time.Second)
 		b.expect(t, "after the data centre is back", true)
 	})
@@ -178,10 +196,10 @@
 			if _, ok := b.book.Take(time.Now(), book.Need{Service: "s", Tokens: 1, Memory: 10}); !ok {
 				t.Fatal("no room on an idle engine")
 			}
-			b.leaving = true
+			b.set(func(r *registry) { r.leaving = true })
 			time.Sleep(time.Second)
 			b.expect(t, "while the registry answers", true)
-			b.away = true
+			b.set(func(r *registry) { r.away = true })
 			time.Sleep(time.Second)
 			b.expect(t, "while the registry is away", informed)
 		})
