Three entries follow the registry closely for all, the others each second

What leaves is passed on by peers at once, and each process's own pace of a second keeps the bounds by itself. Ruled out: one leader (two may fail together; who is cut off leads for itself).

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -68,6 +68,10 @@
 	// pace is the pause between two watches. It gathers changes that come together
 	// into one priced call.
 	pace = 20 * time.Millisecond
+	// restPace is the pause of a process whose peers follow the registry closely
+	// and pass on what leaves. It keeps each process within the platform's bounds
+	// for drains and configurations on its own.
+	restPace = time.Second
 	// outage is how long the registry must fail before entries that vanish count
 	// as expired with it. Three missed heartbeats of a second remove one.
 	outage = 1500 * time.Millisecond
@@ -93,6 +97,9 @@
 	// Informed reports whether a peer passes on what the registry says, so that
 	// endpoints need not be asked. nil means no.
 	Informed func(now time.Time) bool
+	// Leads reports whether this process is one of those that follow the registry
+	// closely. nil means yes.
+	Leads func(now time.Time) bool
 }
 
 // Follower follows one registry.
@@ -117,7 +124,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	go f.askEndpoints(ctx)
 	for ctx.Err() == nil {
-		pause := pace
+		pause := f.pace(time.Now())
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = f.backoff()
@@ -127,6 +134,13 @@
 	}
 }
 
+func (f *Follower) pace(now time.Time) time.Duration {
+	if f.Leads == nil || f.Leads(now) {
+		return pace
+	}
+	return restPace
+}
+
 func (f *Follower) round(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -23,6 +23,7 @@
 	forgotten  = time.Minute            // a silent peer is no longer counted as a process
 	seedEvery  = time.Second            // seeds that do not answer are asked again
 	recent     = 5 * time.Second        // how long a leaving endpoint is passed on
+	leaders    = 3                      // processes that follow the registry closely; two may fail together
 	maxMembers = 64                     // addresses in one message
 )
 
@@ -111,6 +112,21 @@
 	return false
 }
 
+// Leads reports whether this process is one of the few that follow the registry
+// closely for all: those with the first names among the live ones whose registry
+// answers. Every process tells that for itself, without asking.
+func (g *Group) Leads(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := 0
+	for address, p := range g.peers {
+		if address < g.cfg.Address && p.follows && now.Sub(p.heard) < lostAfter {
+			before++
+		}
+	}
+	return before < leaders
+}
+
 // Left notes an endpoint that gets no new work, to be passed on.
 func (g *Group) Left(now time.Time, id string, born int64) {
 	g.mu.Lock()
--- a/internal/router/share/share_test.go
+++ b/internal/router/share/share_test.go
@@ -124,6 +124,35 @@
 	}
 }
 
+// A few processes follow the registry closely; when they are lost, others do.
+func TestLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d", "e")
+		for _, g := range f.groups {
+			g.cfg.Follows = func() bool { return true }
+		}
+		f.rounds(t, 3*time.Second)
+		expectLeaders(t, f, "a", "b", "c")
+		f.cut["a"], f.cut["b"] = true, true
+		f.rounds(t, lostAfter+time.Second)
+		expectLeaders(t, f, "a", "b", "c", "d", "e") // those cut off follow for themselves
+	})
+}
+
+func expectLeaders(t *testing.T, f *fleet, want ...string) {
+	t.Helper()
+	var got []string
+	for address, g := range f.groups {
+		if g.Leads(time.Now()) {
+			got = append(got, address)
+		}
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Fatalf("%q follow closely, want %q", got, want)
+	}
+}
+
 func TestRestartedPeerIsHeard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b")
