--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -5,9 +5,9 @@
 import (
 	"os"
 
-	"github.com/mimosalock/mimosalock/internal/cli"
+	"github.com/mimosalock/mimosalock/internal/node/cmds"
 )
 
 func main() {
-	os.Exit(cli.RunLoad(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.RunLoad(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/mimosalock/main.go
+++ b/cmd/mimosalock/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"github.com/mimosalock/mimosalock/internal/cli"
+	"github.com/mimosalock/mimosalock/internal/node/cmds"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/mimosalock/main_test.go
+++ b/cmd/mimosalock/main_test.go
@@ -14,7 +14,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/stand/confsv"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const testTimeout = 60 * time.Second
@@ -38,7 +38,7 @@
 // fleet has its stand-ins in this process, and one entry and one agent for
 // each of two data centres as processes of their own.
 type fleet struct {
-	*rig.Rig
+	*local.Rig
 	entry  *exec.Cmd
 	agents []*exec.Cmd
 	addr   string
@@ -46,9 +46,9 @@
 
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
-	steady := rig.QuickEngine()
+	steady := local.QuickEngine()
 	steady.StepBase = 5 * time.Millisecond
-	r, err := rig.New(rig.Options{Centres: []spec.DataCentre{{Name: "galway-a", Region: "west"}, {Name: "mayo-a", Region: "west"}}, Engines: 1, Engine: steady})
+	r, err := local.New(local.Options{Centres: []spec.DataCentre{{Name: "galway-a", Region: "west"}, {Name: "mayo-a", Region: "west"}}, Engines: 1, Engine: steady})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 func (f *fleet) wait(t *testing.T) {
 	t.Helper()
 	for limit := time.Now().Add(testTimeout); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
-		if f.call(t, client.New(rig.Key), 2).Outcome == client.OutcomeComplete {
+		if f.call(t, client.New(local.Key), 2).Outcome == client.OutcomeComplete {
 			return
 		}
 	}
@@ -139,7 +139,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	return c.Generate(ctx, f.addr, rig.ModelName, fmt.Sprintf("plan len=%d", length), 0)
+	return c.Generate(ctx, f.addr, local.ModelName, fmt.Sprintf("plan len=%d", length), 0)
 }
 
 // busy returns the agent process whose engine runs a stream.
@@ -157,7 +157,7 @@
 // during runs the fault when the stream has 20 tokens, and returns the result.
 func (f *fleet) during(t *testing.T, fault func()) client.Result {
 	t.Helper()
-	c := client.New(rig.Key)
+	c := client.New(local.Key)
 	c.OnToken = func(n int) {
 		if n == 20 {
 			fault()
@@ -220,7 +220,7 @@
 		_ = p.Process.Signal(syscall.SIGCONT)
 	}
 	for range 30 {
-		f.call(t, client.New(rig.Key), 2)
+		f.call(t, client.New(local.Key), 2)
 	}
 	if n := len(f.Engines()[out].Engine.Seen()); n != before {
 		t.Fatalf("%d calls reached the drained data centre after both woke", n-before)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"github.com/mimosalock/mimosalock/internal/cli"
+	"github.com/mimosalock/mimosalock/internal/node/cmds"
 )
 
 func main() {
-	os.Exit(cli.RunStand(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.RunStand(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/agent/desk/keys.go
+++ b/internal/agent/desk/keys.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/mimosalock/mimosalock/internal/agent/owner"
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/call/ticket"
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
@@ -115,6 +116,6 @@
 	if len(hosts) == 0 {
 		return roster.Member{}, false
 	}
-	first := owner.Rank(hosts, KeyText(workspace, key))[0]
+	first := rank.Hosts(hosts, KeyText(workspace, key))[0]
 	return agents[slices.Index(hosts, first)], true
 }
--- a/internal/agent/desk/resume.go
+++ b/internal/agent/desk/resume.go
@@ -8,7 +8,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/agent/admit"
 	"github.com/mimosalock/mimosalock/internal/agent/answer"
-	"github.com/mimosalock/mimosalock/internal/agent/produce"
+	"github.com/mimosalock/mimosalock/internal/agent/frame"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/ops/audit"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
@@ -25,7 +25,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range streams {
-		attempt := produce.SplitID(s.ID)
+		attempt := frame.SplitID(s.ID)
 		if d.runs[attempt] != nil {
 			continue
 		}
--- a/internal/agent/desk/run.go
+++ b/internal/agent/desk/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/agent/answer"
-	"github.com/mimosalock/mimosalock/internal/agent/produce"
+	"github.com/mimosalock/mimosalock/internal/agent/frame"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/ops/audit"
 	"github.com/mimosalock/mimosalock/internal/ops/invar"
@@ -64,15 +64,15 @@
 		case <-ctx.Done():
 		}
 	}()
-	job := produce.Job{
+	job := frame.Job{
 		Offer: run.Offer, Endpoint: d.Settings.Endpoint, Buffer: run.Buffer, Adopted: run.adopted,
 		OnToken: func(count uint64, gap time.Duration) { d.token(run, count, gap) },
 	}
 	var end *peerpb.End
 	if service.Kind == spec.KindModel {
-		end = produce.Model(ctx, job)
+		end = frame.Model(ctx, job)
 	} else {
-		end = produce.Plain(ctx, job)
+		end = frame.Plain(ctx, job)
 	}
 	if d.Life.Err() != nil {
 		return // a successor takes the engine's streams up again
@@ -85,7 +85,7 @@
 
 // freeEngine makes the engine drop a generation that will not be read.
 func (d *Desk) freeEngine(run *Run) {
-	id := produce.StreamID(run.Offer.Attempt, run.Offer.Workspace)
+	id := frame.StreamID(run.Offer.Attempt, run.Offer.Workspace)
 	if err := d.engine.Cancel(id); err != nil {
 		d.Log.Debug("engine_cancel_failed")
 	}
--- a/internal/agent/produce/produce.go
+++ b/internal/agent/frame/produce.go
@@ -1,6 +1,6 @@
-// Package produce runs one started call against its endpoint and fills the
+// Package frame runs one started call against its endpoint and fills the
 // answer buffer.
-package produce
+package frame
 
 import (
 	"context"
--- a/internal/agent/owner/owner_test.go
+++ b/internal/agent/owner/owner_test.go
@@ -4,13 +4,15 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 )
 
 func TestJudge(t *testing.T) {
 	three := []string{"a", "b", "c"}
 	key := "k"
-	first := Rank(three, key)[0]
-	second := Rank(three, key)[1]
+	first := rank.Hosts(three, key)[0]
+	second := rank.Hosts(three, key)[1]
 	without := slices.DeleteFunc(slices.Clone(three), func(h string) bool { return h == first })
 	settled := Position{Present: three, Age: time.Hour, Listed: true, Horizon: time.Minute}
 	cases := []struct {
--- a/internal/agent/place/place.go
+++ b/internal/agent/place/place.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/lo"
 
-	"github.com/mimosalock/mimosalock/internal/agent/owner"
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
 )
@@ -32,7 +32,7 @@
 			staying = append(staying, m.Host)
 		}
 	}
-	ranked := owner.Rank(staying, "model/"+model)
+	ranked := rank.Hosts(staying, "model/"+model)
 	holders := ranked[:min(s.Copies, len(ranked))]
 	return func(host string) bool { return slices.Contains(holders, host) }
 }
--- a/internal/entry/front/service.go
+++ b/internal/entry/front/service.go
@@ -12,7 +12,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/samber/lo"
 
-	"github.com/mimosalock/mimosalock/internal/agent/produce"
+	"github.com/mimosalock/mimosalock/internal/agent/frame"
 	"github.com/mimosalock/mimosalock/internal/call/callid"
 	"github.com/mimosalock/mimosalock/internal/call/ticket"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
@@ -89,7 +89,7 @@
 	for k, v := range c.Request().Header.All() {
 		name := string(k)
 		lower := strings.ToLower(name)
-		if produce.HopByHop(name) || lo.Contains(named, lower) || dropped(lower) {
+		if frame.HopByHop(name) || lo.Contains(named, lower) || dropped(lower) {
 			continue
 		}
 		out = append(out, &peerpb.Header{Name: name, Value: string(v)})
--- a/internal/entry/route/route.go
+++ b/internal/entry/route/route.go
@@ -11,7 +11,7 @@
 
 	"github.com/samber/lo"
 
-	"github.com/mimosalock/mimosalock/internal/agent/owner"
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/conf/view"
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
@@ -102,7 +102,7 @@
 func (p *Planner) owner(tier []int) int {
 	best, bestScore := 0, uint64(0)
 	for at, i := range tier {
-		if score := owner.Score(p.agents[i].Host, p.prefix); score >= bestScore {
+		if score := rank.Score(p.agents[i].Host, p.prefix); score >= bestScore {
 			best, bestScore = at, score
 		}
 	}
--- a/internal/fleet/reader/reader.go
+++ b/internal/fleet/reader/reader.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/mimosalock/mimosalock/internal/agent/owner"
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/conf/bundle"
 	"github.com/mimosalock/mimosalock/internal/conf/check"
 	"github.com/mimosalock/mimosalock/internal/conf/held"
@@ -129,7 +129,7 @@
 			agents = append(agents, m.Host)
 		}
 	}
-	ranked := append(owner.Rank(entries, electionKey), owner.Rank(agents, electionKey)...)
+	ranked := append(rank.Hosts(entries, electionKey), rank.Hosts(agents, electionKey)...)
 	return slices.Contains(ranked[:min(r.readers, len(ranked))], r.self)
 }
 
--- a/internal/fleet/spread/graph.go
+++ b/internal/fleet/spread/graph.go
@@ -4,7 +4,7 @@
 	"slices"
 	"sync"
 
-	"github.com/mimosalock/mimosalock/internal/agent/owner"
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
 )
 
@@ -73,5 +73,5 @@
 }
 
 func (g *graph) choose(hosts []string, count int) []string {
-	return owner.Rank(hosts, g.self)[:min(count, len(hosts))]
+	return rank.Hosts(hosts, g.self)[:min(count, len(hosts))]
 }
--- a/internal/cli/cli.go
+++ b/internal/node/cmds/cli.go
@@ -1,5 +1,5 @@
-// Package cli is the command line of mimosalock.
-package cli
+// Package cmds is the command line of mimosalock.
+package cmds
 
 import (
 	"context"
--- a/internal/cli/recov.go
+++ b/internal/node/cmds/recov.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"time"
--- a/internal/cli/stand.go
+++ b/internal/node/cmds/stand.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"github.com/mimosalock/mimosalock/internal/conf/bundle"
 	"github.com/mimosalock/mimosalock/internal/stand/confsv"
 	"github.com/mimosalock/mimosalock/internal/stand/engsrv"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 	"github.com/mimosalock/mimosalock/internal/stand/plain"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
 	"github.com/mimosalock/mimosalock/internal/stand/weight"
 )
 
@@ -56,7 +56,7 @@
 
 // Execute runs the engine.
 func (c *standEngine) Execute([]string) error {
-	cfg := sim.Default()
+	cfg := model.Default()
 	cfg.MaxBatch, cfg.CacheTokens, cfg.StepBase = c.Batch, c.Cache, c.Step
 	s, err := engsrv.New(c.Listen, engsrv.Config{
 		Model: c.Model, Engine: cfg, Seed: c.Seed, Warm: c.Warm, LoadLag: c.LoadLag, IgnoreFencing: c.IgnoreFen,
--- a/internal/cli/watch_test.go
+++ b/internal/node/cmds/watch_test.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"context"
@@ -7,18 +7,18 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 func TestStatusAndExplain(t *testing.T) {
-	r, err := rig.New(rig.Options{Entries: 1, Engines: 1})
+	r, err := local.New(local.Options{Entries: 1, Engines: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer r.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	res := client.New(rig.Key).Generate(ctx, r.Entries()[0].Callers, rig.ModelName, "len=3", 0)
+	res := client.New(local.Key).Generate(ctx, r.Entries()[0].Callers, local.ModelName, "len=3", 0)
 	if res.Outcome != client.OutcomeComplete {
 		t.Fatalf("outcome %s", res.Outcome)
 	}
@@ -29,7 +29,7 @@
 		code  int
 		texts []string
 	}{
-		{"status of an entry", []string{"status", "--admin", entry}, 0, []string{"galway-a", "IN SERVICE", rig.ModelService}},
+		{"status of an entry", []string{"status", "--admin", entry}, 0, []string{"galway-a", "IN SERVICE", local.ModelService}},
 		{"status of an agent", []string{"status", "--admin", agent}, 0, []string{`"limit":48`}},
 		{"status for programs", []string{"status", "--json", "--admin", entry}, 0, []string{`"config_version": 1`}},
 		{"a call", []string{"explain", "--admin", entry, "--admin", agent, res.CallID}, 0, []string{"call_offered", "call_accepted", "call_started", "complete"}},
--- a/internal/stand/engsrv/http.go
+++ b/internal/stand/engsrv/http.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 // prefixChars is how much of a prompt counts as its shared prefix.
@@ -80,7 +80,7 @@
 func (s *Server) submit(id string, req *completionRequest, chat bool) *stream {
 	text := req.text()
 	shared := min(len(text), prefixChars)
-	seq := &sim.Seq{
+	seq := &model.Seq{
 		ID: id, Prompt: 1 + len(text)/charsPerToken, Priority: req.Priority,
 		Prefix: xxhash.Sum64String(text[:shared]), Shared: shared / charsPerToken,
 		Length: req.limit(naturalLength(text, s.cfg.Seed)),
--- a/internal/stand/engsrv/server.go
+++ b/internal/stand/engsrv/server.go
@@ -18,7 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 const (
@@ -30,7 +30,7 @@
 // Config describes one stand-in engine.
 type Config struct {
 	Model         string
-	Engine        sim.Config
+	Engine        model.Config
 	Seed          uint64
 	LoadLag       time.Duration // age of the figures that /v1/load reports
 	IgnoreFencing bool          // accept orders with an old fencing number
@@ -44,7 +44,7 @@
 	cfg      Config
 	mu       sync.Mutex
 	changed  *sync.Cond
-	engine   *sim.Engine
+	engine   *model.Engine
 	streams  map[string]*stream
 	history  []loadSample
 	events   []cacheEvent
@@ -60,7 +60,7 @@
 
 type stream struct {
 	id       string
-	seq      *sim.Seq
+	seq      *model.Seq
 	chat     bool
 	whole    bool
 	usage    bool
@@ -105,7 +105,7 @@
 		cfg.DetachGrace = 10 * time.Second
 	}
 	s := &Server{
-		cfg: cfg, engine: sim.New(cfg.Engine), streams: map[string]*stream{},
+		cfg: cfg, engine: model.New(cfg.Engine), streams: map[string]*stream{},
 		seen: map[string]int{}, listener: ln, boot: rand.Uint64(), loaded: []string{cfg.Model},
 	}
 	if cfg.Warm {
@@ -184,18 +184,18 @@
 	}
 }
 
-func (s *Server) apply(events []sim.Event) {
+func (s *Server) apply(events []model.Event) {
 	for _, ev := range events {
 		st := s.streams[ev.Seq.ID]
 		if st == nil {
 			continue
 		}
 		switch ev.Kind {
-		case sim.EventToken:
+		case model.EventToken:
 			s.emit(st, ev.Seq.Produced-1)
-		case sim.EventFinished:
+		case model.EventFinished:
 			s.finish(st)
-		case sim.EventPreempted:
+		case model.EventPreempted:
 		}
 	}
 	if len(events) > 0 {
--- a/internal/stand/sim/sim.go
+++ b/internal/stand/model/sim.go
@@ -1,7 +1,7 @@
-// Package sim models a continuously batching engine as a pure step function.
+// Package model models a continuously batching engine as a pure step function.
 // The stand-in steps it with a timer; the policy experiments step it without
 // waiting. Units: tokens for memory and lengths, time.Duration for steps.
-package sim
+package model
 
 import (
 	"cmp"
--- a/internal/tool/capac/capac_test.go
+++ b/internal/tool/capac/capac_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // The counts below do not depend on the machine's speed. Each is taken at two
@@ -60,7 +60,7 @@
 
 func TestConfigurationCallsDoNotGrowWithProcesses(t *testing.T) {
 	calls := func(plains int) float64 {
-		r, err := rig.New(rig.Options{Centres: someCentres(), Entries: 2, Plains: plains})
+		r, err := local.New(local.Options{Centres: someCentres(), Entries: 2, Plains: plains})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/tool/capac/control.go
+++ b/internal/tool/capac/control.go
@@ -11,7 +11,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/stand/certs"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const (
@@ -38,7 +38,7 @@
 	var x []float64
 	var all []fleetFigures
 	for _, n := range sizes {
-		opts := rig.Options{Centres: someCentres(), Entries: 2, Plains: n/centres - 2, TLS: keys}
+		opts := local.Options{Centres: someCentres(), Entries: 2, Plains: n/centres - 2, TLS: keys}
 		f, err := measureFleet(opts)
 		if err != nil {
 			return nil, err
@@ -74,12 +74,12 @@
 	bytesPS, core, idleCalls, changeCalls, startCalls, spreadMs, changeBytes, memory float64
 }
 
-func measureFleet(o rig.Options) (fleetFigures, error) {
+func measureFleet(o local.Options) (fleetFigures, error) {
 	var f fleetFigures
-	var r *rig.Rig
+	var r *local.Rig
 	var err error
 	total := heap(func() any {
-		r, err = rig.New(o)
+		r, err = local.New(o)
 		return r
 	})
 	if err != nil {
@@ -153,15 +153,15 @@
 	if err != nil {
 		return 0, err
 	}
-	r, err := rig.New(rig.Options{Entries: 1, Plains: endpoints, TLS: keys})
+	r, err := local.New(local.Options{Entries: 1, Plains: endpoints, TLS: keys})
 	if err != nil {
 		return 0, err
 	}
 	defer r.Close()
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	e := r.Entries()[0]
 	call := func() {
-		user.Call(context.Background(), e.Callers, "GET", "/services/"+rig.PlainService+"/x", "", "m", nil)
+		user.Call(context.Background(), e.Callers, "GET", "/services/"+local.PlainService+"/x", "", "m", nil)
 	}
 	for range 8 * endpoints { // every link has been dialled
 		call()
--- a/internal/tool/capac/state.go
+++ b/internal/tool/capac/state.go
@@ -19,15 +19,15 @@
 	"github.com/mimosalock/mimosalock/internal/fleet/spread"
 	"github.com/mimosalock/mimosalock/internal/ops/audit"
 	"github.com/mimosalock/mimosalock/internal/stand/confsv"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // Workspaces returns a configuration with so many workspaces.
 func Workspaces(count int) spec.File {
-	f := rig.DefaultFile([]spec.DataCentre{{Name: "galway-a", Region: "west"}})
+	f := local.DefaultFile([]spec.DataCentre{{Name: "galway-a", Region: "west"}})
 	for i := range count - len(f.Workspaces) {
 		name := fmt.Sprintf("workspace-%06d", i)
-		f.Workspaces = append(f.Workspaces, spec.Workspace{Name: name, KeySHA256: rig.HashKey(name), Weight: 1 + i%5, PerSecond: 50})
+		f.Workspaces = append(f.Workspaces, spec.Workspace{Name: name, KeySHA256: local.HashKey(name), Weight: 1 + i%5, PerSecond: 50})
 	}
 	return f
 }
--- a/internal/tool/capac/stream.go
+++ b/internal/tool/capac/stream.go
@@ -11,15 +11,15 @@
 	"time"
 
 	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
+	prom "github.com/prometheus/common/model"
 	"github.com/valyala/fasthttp"
 	"gonum.org/v1/gonum/stat"
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/stand/confsv"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const (
@@ -65,16 +65,16 @@
 // bed is an entry and an agent in processes of their own, before a stand-in
 // engine in this one.
 type bed struct {
-	rig          *rig.Rig
+	rig          *local.Rig
 	entry, agent *proc
 	addr         string
 }
 
 func newBed() (*bed, error) {
-	engine := sim.Config{
+	engine := model.Config{
 		MaxBatch: 512, CacheTokens: 64 << 20, PrefillTokens: 1 << 20, StepBase: tokenGap, ColdBatch: 512, WarmTokens: 1,
 	}
-	r, err := rig.New(rig.Options{Engines: 1, Engine: engine, Config: func(f *spec.File) { f.Services[0].Floor, f.Services[0].MaxConcurrency = 512, 512 }})
+	r, err := local.New(local.Options{Engines: 1, Engine: engine, Config: func(f *spec.File) { f.Services[0].Floor, f.Services[0].MaxConcurrency = 512, 512 }})
 	if err != nil {
 		return nil, err
 	}
@@ -114,9 +114,9 @@
 }
 
 func (b *bed) wait() error {
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
-		if user.Generate(context.Background(), b.addr, rig.ModelName, "len=2", 0).Outcome == client.OutcomeComplete {
+		if user.Generate(context.Background(), b.addr, local.ModelName, "len=2", 0).Outcome == client.OutcomeComplete {
 			return nil
 		}
 	}
@@ -152,7 +152,7 @@
 	if err != nil {
 		return 0
 	}
-	parser := expfmt.NewTextParser(model.UTF8Validation)
+	parser := expfmt.NewTextParser(prom.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(string(body)))
 	if err != nil || families[name] == nil {
 		return 0
@@ -186,8 +186,8 @@
 	var all sync.WaitGroup
 	for range count {
 		all.Go(func() {
-			user := client.New(rig.Key)
-			res := user.Generate(ctx, b.addr, rig.ModelName, "len=100000", 0)
+			user := client.New(local.Key)
+			res := user.Generate(ctx, b.addr, local.ModelName, "len=100000", 0)
 			mu.Lock()
 			defer mu.Unlock()
 			gaps = append(gaps, res.Gaps...)
@@ -226,13 +226,13 @@
 
 // added compares the path with the engine called directly, turn by turn.
 func (b *bed) added() Added {
-	direct, path := client.New(rig.Key), client.New(rig.Key)
+	direct, path := client.New(local.Key), client.New(local.Key)
 	engine := b.rig.Engines()[0].Engine.Addr()
 	var first, gaps [2][]time.Duration
 	for range directCalls {
 		for i, res := range []client.Result{
-			direct.Generate(context.Background(), engine, rig.ModelName, "len=20", 0),
-			path.Generate(context.Background(), b.addr, rig.ModelName, "len=20", 0),
+			direct.Generate(context.Background(), engine, local.ModelName, "len=20", 0),
+			path.Generate(context.Background(), b.addr, local.ModelName, "len=20", 0),
 		} {
 			first[i] = append(first[i], res.FirstToken)
 			gaps[i] = append(gaps[i], res.Gaps...)
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -13,7 +13,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // Options of one run.
@@ -49,7 +49,7 @@
 
 // tour is one run.
 type tour struct {
-	rig   *rig.Rig
+	rig   *local.Rig
 	out   io.Writer
 	count count
 	users []*client.Client
@@ -59,12 +59,12 @@
 // out and returns ErrWrong if a promise was broken.
 func Run(ctx context.Context, o Options, out io.Writer) error {
 	say(out, "starting two data centres, %s and %s, each with 2 entries, 3 engines and 2 depot workers", home, away)
-	r, err := rig.New(rig.Options{Centres: Centres(), Entries: 2, Engines: 3, Plains: 2, Seed: o.Seed})
+	r, err := local.New(local.Options{Centres: Centres(), Entries: 2, Engines: 3, Plains: 2, Seed: o.Seed})
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
 	defer r.Close()
-	t := &tour{rig: r, out: out, users: []*client.Client{client.New(rig.Key), client.New(rig.OtherKey)}}
+	t := &tour{rig: r, out: out, users: []*client.Client{client.New(local.Key), client.New(local.OtherKey)}}
 	t.count.outcomes = map[client.Outcome]int{}
 	t.count.bookings = map[string]client.Outcome{}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
@@ -162,14 +162,14 @@
 	u := t.users[user]
 	switch {
 	case kind < 3:
-		t.streamed(u.Generate(ctx, addr, rig.ModelName, fmt.Sprintf("check certificate %d len=%d", number, 1+length%8), 16), 1+length%8)
+		t.streamed(u.Generate(ctx, addr, local.ModelName, fmt.Sprintf("check certificate %d len=%d", number, 1+length%8), 16), 1+length%8)
 	case kind < 7:
-		t.streamed(u.Generate(ctx, addr, rig.ModelName, fmt.Sprintf("plan %d len=%d", number, length), 0), length)
+		t.streamed(u.Generate(ctx, addr, local.ModelName, fmt.Sprintf("plan %d len=%d", number, length), 0), length)
 	case kind < 8:
-		t.note(u.Call(ctx, addr, "GET", "/services/"+rig.PlainService+"/stock/grit", "", fmt.Sprintf("look-up-%d", number), nil))
+		t.note(u.Call(ctx, addr, "GET", "/services/"+local.PlainService+"/stock/grit", "", fmt.Sprintf("look-up-%d", number), nil))
 	default:
 		mark := fmt.Sprintf("booking-%d", number)
-		res := u.Call(ctx, addr, "POST", "/services/"+rig.PlainService+"/bookings/new", "", mark, []byte(`{"tonnes":4}`))
+		res := u.Call(ctx, addr, "POST", "/services/"+local.PlainService+"/bookings/new", "", mark, []byte(`{"tonnes":4}`))
 		t.note(res)
 		t.count.mu.Lock()
 		t.count.bookings[mark] = res.Outcome
--- a/internal/tool/demo/serve.go
+++ b/internal/tool/demo/serve.go
@@ -5,22 +5,22 @@
 	"fmt"
 	"io"
 
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // Serve runs the demo's fleet until the context ends, then drains it.
 func Serve(ctx context.Context, seed uint64, out io.Writer) error {
-	r, err := rig.New(rig.Options{Centres: Centres(), Entries: 1, Engines: 2, Plains: 2, Seed: seed})
+	r, err := local.New(local.Options{Centres: Centres(), Entries: 1, Engines: 2, Plains: 2, Seed: seed})
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
 	defer r.Close()
 	n := r.Entries()[0]
 	base := "http://" + n.Settings.Listen
-	say(out, "listen=%s key=%s model=%s", base, rig.Key, rig.ModelName)
-	say(out, "curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"a supply plan len=40\"}]}'", base, rig.Key, rig.ModelName)
-	say(out, "curl %s/v1/models -H 'Authorization: Bearer %s'", base, rig.Key)
-	say(out, "curl -i -X POST %s/services/%s/bookings/new -H 'Authorization: Bearer %s' -d '{\"tonnes\":4}'", base, rig.PlainService, rig.Key)
+	say(out, "listen=%s key=%s model=%s", base, local.Key, local.ModelName)
+	say(out, "curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"a supply plan len=40\"}]}'", base, local.Key, local.ModelName)
+	say(out, "curl %s/v1/models -H 'Authorization: Bearer %s'", base, local.Key)
+	say(out, "curl -i -X POST %s/services/%s/bookings/new -H 'Authorization: Bearer %s' -d '{\"tonnes\":4}'", base, local.PlainService, local.Key)
 	say(out, "mimosalock status --admin %s", n.Settings.Admin)
 	<-ctx.Done()
 	say(out, "draining")
--- a/internal/tool/faults/faults.go
+++ b/internal/tool/faults/faults.go
@@ -15,7 +15,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/ops/invar"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const (
@@ -48,7 +48,7 @@
 
 type run struct {
 	Options
-	rig      *rig.Rig
+	rig      *local.Rig
 	rng      *rand.Rand // of the driver only
 	mu       sync.Mutex
 	res      Result
@@ -59,7 +59,7 @@
 
 // Run drives calls and faults for the given time.
 func Run(o Options) (Result, error) {
-	r, err := rig.New(rig.Options{
+	r, err := local.New(local.Options{
 		Centres: []spec.DataCentre{{Name: "galway-a", Region: "west"}, {Name: "mayo-a", Region: "north"}, {Name: "clare-a", Region: "south"}},
 		Entries: 1, Engines: 2, Plains: 1, Seed: o.Seed, Links: true,
 		Adjust: func(s *setup.Settings) { s.HostWatchMs, s.OrphanMs = 300, 8000 },
@@ -112,7 +112,7 @@
 
 // caller makes calls one after another.
 func (f *run) caller(ctx context.Context, rng *rand.Rand, number int) {
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	for n := 0; ctx.Err() == nil; n++ {
 		entries := f.rig.Entries()
 		addr := entries[rng.IntN(len(entries))].Callers
@@ -133,7 +133,7 @@
 func (f *run) plain(user *client.Client, addr, method, path, key, mark string) client.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return user.Call(ctx, addr, method, "/services/"+rig.PlainService+path, key, mark, []byte("{}"))
+	return user.Call(ctx, addr, method, "/services/"+local.PlainService+path, key, mark, []byte("{}"))
 }
 
 // generation streams an answer and takes it up again at other entries when
@@ -143,7 +143,7 @@
 	defer cancel()
 	length := 1 + rng.IntN(400)
 	entries := f.rig.Entries()
-	res := user.Generate(ctx, entries[rng.IntN(len(entries))].Callers, rig.ModelName, fmt.Sprintf("%s len=%d", mark, length), 0)
+	res := user.Generate(ctx, entries[rng.IntN(len(entries))].Callers, local.ModelName, fmt.Sprintf("%s len=%d", mark, length), 0)
 	for tries := 0; res.Outcome == client.OutcomeBroken && res.LastEvent != "" && tries < mostResumes; tries++ {
 		again := user.Resume(ctx, entries[rng.IntN(len(entries))].Callers, res)
 		if again.Status != 0 && again.Status != 200 {
@@ -167,7 +167,7 @@
 	key := mark
 	if rng.IntN(2) == 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		t, err := user.Ticket(ctx, entries[rng.IntN(len(entries))].Callers, rig.PlainService)
+		t, err := user.Ticket(ctx, entries[rng.IntN(len(entries))].Callers, local.PlainService)
 		cancel()
 		if err != nil {
 			return
--- a/internal/tool/faults/kinds.go
+++ b/internal/tool/faults/kinds.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // kind is a kind of fault.
@@ -108,7 +108,7 @@
 
 // restart kills an agent and starts its successor. One restart of an agent at
 // a time: a second one waits for the first.
-func (f *run) restart(n *rig.Node) {
+func (f *run) restart(n *local.Node) {
 	f.rig.KillAgent(n)
 	if err := f.rig.StartAgent(n); err != nil {
 		f.violation("restart: %v", err)
--- a/internal/tool/rig/bench_test.go
+++ b/internal/tool/local/bench_test.go
@@ -1,21 +1,21 @@
-package rig_test
+package local_test
 
 import (
 	"sync"
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // BenchmarkStreams relays b.N tokens in 32 streams at once. Time and
 // allocations include the caller and the stand-in engine.
 func BenchmarkStreams(b *testing.B) {
-	engine := rig.QuickEngine()
+	engine := local.QuickEngine()
 	engine.StepBase = 100_000 // 0.1 ms
 	engine.StepPerSeq = 0
 	engine.CacheTokens = 1 << 30
-	r, err := rig.New(rig.Options{Entries: 1, Engines: 1, Engine: engine})
+	r, err := local.New(local.Options{Entries: 1, Engines: 1, Engine: engine})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 	var all sync.WaitGroup
 	for range streams {
 		all.Go(func() {
-			res := client.New(rig.Key).Generate(b.Context(), r.Entries()[0].Callers, rig.ModelName, prompt(length), 0)
+			res := client.New(local.Key).Generate(b.Context(), r.Entries()[0].Callers, local.ModelName, prompt(length), 0)
 			if res.Outcome != client.OutcomeComplete {
 				b.Errorf("outcome %s", res.Outcome)
 			}
--- a/internal/tool/rig/config_test.go
+++ b/internal/tool/local/config_test.go
@@ -1,10 +1,10 @@
-package rig_test
+package local_test
 
 import (
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // A version that is in force stays so, and a new process learns it from its
@@ -12,19 +12,19 @@
 func TestConfigurationThroughOutages(t *testing.T) {
 	cases := []struct {
 		name string
-		harm func(r *rig.Rig, old []byte)
+		harm func(r *local.Rig, old []byte)
 	}{
-		{"service down", func(r *rig.Rig, _ []byte) { r.Platform.SetDown(true) }},
-		{"service serves an older version", func(r *rig.Rig, old []byte) { put(r, old) }},
-		{"service serves half a manifest", func(r *rig.Rig, old []byte) { put(r, old[:len(old)/2]) }},
-		{"service names shards that it lacks", func(r *rig.Rig, _ []byte) {
+		{"service down", func(r *local.Rig, _ []byte) { r.Platform.SetDown(true) }},
+		{"service serves an older version", func(r *local.Rig, old []byte) { put(r, old) }},
+		{"service serves half a manifest", func(r *local.Rig, old []byte) { put(r, old[:len(old)/2]) }},
+		{"service names shards that it lacks", func(r *local.Rig, _ []byte) {
 			put(r, []byte(`{"version":9,"shards":[{"kind":"fleet","sha256":"00","bytes":1}]}`))
 		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, rig.Options{Entries: 2, Plains: 2})
+			r := start(t, local.Options{Entries: 2, Plains: 2})
 			old := r.Platform.Value("manifest")
 			if err := r.Publish(func(f *spec.File) { f.Services[1].DeadlineSecs = 33 }); err != nil {
 				t.Fatal(err)
@@ -41,7 +41,7 @@
 				t.Fatal(err)
 			}
 			for _, n := range r.Agents() {
-				s, _ := n.Agent.Base().Store.View().Service(rig.PlainService)
+				s, _ := n.Agent.Base().Store.View().Service(local.PlainService)
 				if v := n.Agent.Base().Store.View().Version(); v != 2 || s.DeadlineSecs != 33 {
 					t.Fatalf("%s has version %d", n.Row.Host, v)
 				}
@@ -50,6 +50,6 @@
 	}
 }
 
-func put(r *rig.Rig, manifest []byte) {
+func put(r *local.Rig, manifest []byte) {
 	r.Platform.Put(map[string][]byte{"manifest": manifest})
 }
--- a/internal/tool/rig/front_test.go
+++ b/internal/tool/local/front_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"bytes"
@@ -9,42 +9,42 @@
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 func TestBadRequests(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Engines: 1, Plains: 1, Config: func(f *spec.File) {
+	r := start(t, local.Options{Entries: 1, Engines: 1, Plains: 1, Config: func(f *spec.File) {
 		f.Services[0].MaxBodyBytes, f.Services[1].MaxBodyBytes = 1000, 1000
-		f.Workspaces[1].Services = []string{rig.PlainService}
-		f.Workspaces = append(f.Workspaces, spec.Workspace{Name: "limited", KeySHA256: rig.HashKey("limited-key"), PerSecond: 0.001})
+		f.Workspaces[1].Services = []string{local.PlainService}
+		f.Workspaces = append(f.Workspaces, spec.Workspace{Name: "limited", KeySHA256: local.HashKey("limited-key"), PerSecond: 0.001})
 	}})
-	chat, depot := "/v1/chat/completions", "/services/"+rig.PlainService
-	good := `{"model":"` + rig.ModelName + `","messages":[{"role":"user","content":"len=3"}]}`
-	big := `{"model":"` + rig.ModelName + `","prompt":"` + strings.Repeat("x", 2000) + `"}`
+	chat, depot := "/v1/chat/completions", "/services/"+local.PlainService
+	good := `{"model":"` + local.ModelName + `","messages":[{"role":"user","content":"len=3"}]}`
+	big := `{"model":"` + local.ModelName + `","prompt":"` + strings.Repeat("x", 2000) + `"}`
 	cases := []struct {
 		name, method, path, key, body string
 		status                        int
 		code                          string
 	}{
-		{"good", "POST", chat, rig.Key, good, 200, ""},
+		{"good", "POST", chat, local.Key, good, 200, ""},
 		{"no key", "POST", chat, "", good, 401, "invalid_api_key"},
-		{"not JSON", "POST", chat, rig.Key, `{"model":`, 400, "invalid_json"},
-		{"no model", "POST", chat, rig.Key, `{}`, 400, "missing_field"},
-		{"wrong type", "POST", chat, rig.Key, `{"model":"m","stream":"yes"}`, 400, "invalid_type"},
-		{"range", "POST", chat, rig.Key, `{"model":"m","max_tokens":0}`, 400, "out_of_range"},
-		{"unknown model", "POST", chat, rig.Key, `{"model":"m"}`, 404, "model_not_found"},
-		{"too large", "POST", chat, rig.Key, big, 413, "request_too_large"},
-		{"not allowed", "POST", chat, rig.OtherKey, good, 403, "permission_denied"},
+		{"not JSON", "POST", chat, local.Key, `{"model":`, 400, "invalid_json"},
+		{"no model", "POST", chat, local.Key, `{}`, 400, "missing_field"},
+		{"wrong type", "POST", chat, local.Key, `{"model":"m","stream":"yes"}`, 400, "invalid_type"},
+		{"range", "POST", chat, local.Key, `{"model":"m","max_tokens":0}`, 400, "out_of_range"},
+		{"unknown model", "POST", chat, local.Key, `{"model":"m"}`, 404, "model_not_found"},
+		{"too large", "POST", chat, local.Key, big, 413, "request_too_large"},
+		{"not allowed", "POST", chat, local.OtherKey, good, 403, "permission_denied"},
 		{"first within limit", "POST", chat, "limited-key", good, 200, ""},
 		{"over limit", "POST", chat, "limited-key", good, 429, "not_run"},
-		{"no such path", "GET", "/v2/x", rig.Key, "", 404, "invalid_request"},
-		{"no such service", "GET", "/services/none/x", rig.Key, "", 404, "service_not_found"},
-		{"body of a service", "POST", depot + "/x", rig.Key, big, 413, "request_too_large"},
-		{"dot segments", "POST", depot + "/a/%2e%2e/bookings/new", rig.Key, "", 400, "invalid_path"},
-		{"bad event ID", "POST", chat + "?resume", rig.Key, good, 200, ""},
-		{"bad call ID", "GET", "/v1/streams/zzz", rig.Key, "", 400, "invalid_call_id"},
-		{"unknown host", "DELETE", "/v1/streams/0123456789abcdef.x.y.1", rig.Key, "", 404, "stream_not_found"},
-		{"ticket for a model", "POST", "/v1/tickets", rig.Key, `{"service":"plans"}`, 404, "service_not_found"},
+		{"no such path", "GET", "/v2/x", local.Key, "", 404, "invalid_request"},
+		{"no such service", "GET", "/services/none/x", local.Key, "", 404, "service_not_found"},
+		{"body of a service", "POST", depot + "/x", local.Key, big, 413, "request_too_large"},
+		{"dot segments", "POST", depot + "/a/%2e%2e/bookings/new", local.Key, "", 400, "invalid_path"},
+		{"bad event ID", "POST", chat + "?resume", local.Key, good, 200, ""},
+		{"bad call ID", "GET", "/v1/streams/zzz", local.Key, "", 400, "invalid_call_id"},
+		{"unknown host", "DELETE", "/v1/streams/0123456789abcdef.x.y.1", local.Key, "", 404, "stream_not_found"},
+		{"ticket for a model", "POST", "/v1/tickets", local.Key, `{"service":"plans"}`, 404, "service_not_found"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -90,10 +90,10 @@
 }
 
 func TestPlainPassThrough(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Plains: 1})
-	url := "http://" + r.Entries()[0].Callers + "/services/" + rig.PlainService + "/stock/a%20b?x=1&y=2"
+	r := start(t, local.Options{Entries: 1, Plains: 1})
+	url := "http://" + r.Entries()[0].Callers + "/services/" + local.PlainService + "/stock/a%20b?x=1&y=2"
 	header := http.Header{"X-Call": {"mark"}, "Connection": {"X-Private"}, "X-Private": {"1"}}
-	resp, body := request(t, "PUT", url, rig.Key, "payload", header)
+	resp, body := request(t, "PUT", url, local.Key, "payload", header)
 	var echo struct{ Method, Path, Call, Body string }
 	if err := json.Unmarshal(body, &echo); err != nil {
 		t.Fatalf("%v: %s", err, body)
@@ -104,11 +104,11 @@
 	if resp.Header.Get("Mimosalock-Outcome") != "complete" || resp.Header.Get("X-Worker") == "" {
 		t.Fatalf("headers %v", resp.Header)
 	}
-	head, _ := request(t, "HEAD", url, rig.Key, "", nil)
+	head, _ := request(t, "HEAD", url, local.Key, "", nil)
 	if head.StatusCode != 200 {
 		t.Fatalf("HEAD got status %d", head.StatusCode)
 	}
-	_, large := request(t, "POST", url, rig.Key, strings.Repeat("z", 300_000), nil)
+	_, large := request(t, "POST", url, local.Key, strings.Repeat("z", 300_000), nil)
 	if !bytes.Contains(large, bytes.Repeat([]byte("z"), 300_000)) {
 		t.Fatalf("a large body came back as %d bytes", len(large))
 	}
--- a/internal/tool/rig/models_test.go
+++ b/internal/tool/local/models_test.go
@@ -1,24 +1,24 @@
-package rig_test
+package local_test
 
 import (
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // Each of four models is held by one of three engines, and moves when its
 // engine's host leaves.
 func TestModelsArePlaced(t *testing.T) {
-	models := []string{rig.ModelName, "m1", "m2", "m3"}
-	r := start(t, rig.Options{Entries: 1, Engines: 3, Config: func(f *spec.File) {
+	models := []string{local.ModelName, "m1", "m2", "m3"}
+	r := start(t, local.Options{Entries: 1, Engines: 3, Config: func(f *spec.File) {
 		f.Services[0].Models, f.Services[0].Copies, f.Services[0].LoadSpacingMs = models, 1, 1
 	}})
 	ctx := testContext(t)
 	served := func(model string) func() bool {
 		return func() bool {
-			res := client.New(rig.Key).Generate(ctx, r.Entries()[0].Callers, model, prompt(5), 0)
+			res := client.New(local.Key).Generate(ctx, r.Entries()[0].Callers, model, prompt(5), 0)
 			return res.Outcome == client.OutcomeComplete && res.Tokens == 5
 		}
 	}
--- a/internal/tool/rig/nodes.go
+++ b/internal/tool/local/nodes.go
@@ -1,4 +1,4 @@
-package rig
+package local
 
 import (
 	"fmt"
--- a/internal/tool/rig/once_test.go
+++ b/internal/tool/local/once_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"bytes"
@@ -13,13 +13,13 @@
 	"github.com/mimosalock/mimosalock/internal/stand/cutter"
 	"github.com/mimosalock/mimosalock/internal/stand/plain"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
-const bookingPath = "/services/" + rig.PlainService + "/bookings/new"
+const bookingPath = "/services/" + local.PlainService + "/bookings/new"
 
 // runs counts how often a call ran on all workers.
-func runs(r *rig.Rig, mark string) int {
+func runs(r *local.Rig, mark string) int {
 	n := 0
 	for _, p := range r.Plains() {
 		n += p.Plain.Runs()[mark]
@@ -28,7 +28,7 @@
 }
 
 // expectHonest compares what the caller was told with what the workers saw.
-func expectHonest(t *testing.T, r *rig.Rig, mark string, res client.Result) {
+func expectHonest(t *testing.T, r *local.Rig, mark string, res client.Result) {
 	t.Helper()
 	ran := runs(r, mark)
 	switch {
@@ -46,23 +46,25 @@
 func TestNoRepeatUnderEveryCut(t *testing.T) {
 	links := []struct {
 		name string
-		pick func(r *rig.Rig) []*cutter.Link
+		pick func(r *local.Rig) []*cutter.Link
 	}{
-		{"caller to entry", func(r *rig.Rig) []*cutter.Link { return []*cutter.Link{r.Entries()[0].Link} }},
-		{"entry to agent", func(r *rig.Rig) []*cutter.Link { return []*cutter.Link{r.Plains()[0].Link, r.Plains()[1].Link} }},
-		{"agent to endpoint", func(r *rig.Rig) []*cutter.Link { return []*cutter.Link{r.Plains()[0].Endpoint, r.Plains()[1].Endpoint} }},
+		{"caller to entry", func(r *local.Rig) []*cutter.Link { return []*cutter.Link{r.Entries()[0].Link} }},
+		{"entry to agent", func(r *local.Rig) []*cutter.Link { return []*cutter.Link{r.Plains()[0].Link, r.Plains()[1].Link} }},
+		{"agent to endpoint", func(r *local.Rig) []*cutter.Link {
+			return []*cutter.Link{r.Plains()[0].Endpoint, r.Plains()[1].Endpoint}
+		}},
 	}
 	for _, l := range links {
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, rig.Options{Entries: 1, Plains: 2, Links: true})
+			r := start(t, local.Options{Entries: 1, Plains: 2, Links: true})
 			sweep(t, r, l.pick(r))
 		})
 	}
 }
 
 // sweep cuts the links at rising numbers of bytes, in each direction.
-func sweep(t *testing.T, r *rig.Rig, links []*cutter.Link) {
+func sweep(t *testing.T, r *local.Rig, links []*cutter.Link) {
 	ctx := testContext(t)
 	outcomes := map[client.Outcome]int{}
 	for size := 1; size < 1200; size += 37 {
@@ -75,7 +77,7 @@
 				}
 			}
 			mark := fmt.Sprintf("cut-%v-%d", up, size)
-			res := client.New(rig.Key).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "", mark, []byte("{}"))
+			res := client.New(local.Key).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "", mark, []byte("{}"))
 			expectHonest(t, r, mark, res)
 			outcomes[res.Outcome]++
 		}
@@ -98,20 +100,20 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, rig.Options{Entries: 1, Plains: 2})
+			r := start(t, local.Options{Entries: 1, Plains: 2})
 			for _, p := range r.Plains() {
 				p.Plain.Break(c.at)
 			}
-			res := client.New(rig.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
+			res := client.New(local.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
 			expectOutcome(t, res, c.want)
 			expectHonest(t, r, "b", res)
 		})
 	}
 	t.Run("not listening", func(t *testing.T) {
 		t.Parallel()
-		r := start(t, rig.Options{Entries: 1, Plains: 1})
+		r := start(t, local.Options{Entries: 1, Plains: 1})
 		r.Plains()[0].Plain.Close()
-		res := client.New(rig.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
+		res := client.New(local.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
 		expectOutcome(t, res, client.OutcomeNotRun)
 		if res.RetryAfter == 0 {
 			t.Fatal("a refusal without a time to come again")
@@ -126,14 +128,14 @@
 func quickHosts(s *setup.Settings) { s.HostWatchMs = 200 }
 
 // settled waits until agents may run keys that they have not seen.
-func settled(r *rig.Rig) {
+func settled(r *local.Rig) {
 	for _, p := range r.Plains() {
 		time.Sleep(2*time.Second - p.Agent.Base().Clock.Age())
 	}
 }
 
 func TestKeyRunsOnce(t *testing.T) {
-	r := start(t, rig.Options{Entries: 3, Plains: 3, Config: shortHorizon, Adjust: quickHosts})
+	r := start(t, local.Options{Entries: 3, Plains: 3, Config: shortHorizon, Adjust: quickHosts})
 	settled(r)
 	ctx := testContext(t)
 	for _, p := range r.Plains() {
@@ -144,7 +146,7 @@
 		var all sync.WaitGroup
 		for _, e := range r.Entries() {
 			all.Go(func() {
-				res := client.New(rig.Key).Call(ctx, e.Callers, "POST", bookingPath, key, key, []byte("{}"))
+				res := client.New(local.Key).Call(ctx, e.Callers, "POST", bookingPath, key, key, []byte("{}"))
 				if res.Outcome != client.OutcomeComplete || res.Status != 200 {
 					t.Errorf("%s: %s %s", key, res.Outcome, res.Body)
 				}
@@ -155,17 +157,17 @@
 			t.Fatalf("%s ran %d times", key, n)
 		}
 	}
-	other := client.New(rig.Key).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "order-0", "order-0", []byte(`{"other":1}`))
+	other := client.New(local.Key).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "order-0", "order-0", []byte(`{"other":1}`))
 	expectOutcome(t, other, client.OutcomeUnknown)
-	apart := client.New(rig.OtherKey).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "order-0", "apart", []byte("{}"))
+	apart := client.New(local.OtherKey).Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, "order-0", "apart", []byte("{}"))
 	expectOutcome(t, apart, client.OutcomeComplete)
 }
 
 func TestKeyAfterAgentRestart(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Plains: 1, Config: shortHorizon, Adjust: quickHosts})
+	r := start(t, local.Options{Entries: 2, Plains: 1, Config: shortHorizon, Adjust: quickHosts})
 	settled(r)
 	ctx := testContext(t)
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	call := func(key string) client.Result {
 		return user.Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, key, key, nil)
 	}
@@ -186,9 +188,9 @@
 }
 
 func TestKeyAfterWorkerChange(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Plains: 2, Config: func(f *spec.File) { f.Services[1].KeyHorizonSecs = 4 }, Adjust: quickHosts})
+	r := start(t, local.Options{Entries: 1, Plains: 2, Config: func(f *spec.File) { f.Services[1].KeyHorizonSecs = 4 }, Adjust: quickHosts})
 	ctx := testContext(t)
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	call := func(key string) client.Result {
 		return user.Call(ctx, r.Entries()[0].Callers, "POST", bookingPath, key, key, nil)
 	}
@@ -215,10 +217,10 @@
 }
 
 func TestTicket(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Plains: 2})
+	r := start(t, local.Options{Entries: 2, Plains: 2})
 	ctx := testContext(t)
-	user := client.New(rig.Key)
-	ticket, err := user.Ticket(ctx, r.Entries()[0].Callers, rig.PlainService)
+	user := client.New(local.Key)
+	ticket, err := user.Ticket(ctx, r.Entries()[0].Callers, local.PlainService)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +230,7 @@
 	if n := runs(r, "t"); n != 1 {
 		t.Fatalf("the ticket ran %d times", n)
 	}
-	unused, err := user.Ticket(ctx, r.Entries()[0].Callers, rig.PlainService)
+	unused, err := user.Ticket(ctx, r.Entries()[0].Callers, local.PlainService)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -248,7 +250,7 @@
 }
 
 func TestLateAnswersStayApart(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Plains: 2, Links: true})
+	r := start(t, local.Options{Entries: 2, Plains: 2, Links: true})
 	var all sync.WaitGroup
 	for _, p := range r.Plains() {
 		p.Plain.Delay(20 * time.Millisecond)
@@ -264,7 +266,7 @@
 		all.Go(func() {
 			for k := range 20 {
 				mark := fmt.Sprintf("late-%d-%d", i, k)
-				res := client.New(rig.Key).Call(t.Context(), r.Entries()[i%2].Callers, "GET", "/services/"+rig.PlainService+"/stock/"+mark, "", mark, nil)
+				res := client.New(local.Key).Call(t.Context(), r.Entries()[i%2].Callers, "GET", "/services/"+local.PlainService+"/stock/"+mark, "", mark, nil)
 				if res.Outcome == client.OutcomeComplete && !bytes.Contains(res.Body, []byte(`"`+mark+`"`)) {
 					t.Errorf("%s got the answer %s", mark, res.Body)
 				}
@@ -276,7 +278,7 @@
 }
 
 func TestAgentDiesWithABookingInFlight(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Plains: 2, Links: true})
+	r := start(t, local.Options{Entries: 1, Plains: 2, Links: true})
 	for _, p := range r.Plains() {
 		p.Plain.Delay(time.Second)
 	}
@@ -292,7 +294,7 @@
 			}
 		}
 	}()
-	res := client.New(rig.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
+	res := client.New(local.Key).Call(testContext(t), r.Entries()[0].Callers, "POST", bookingPath, "", "b", nil)
 	expectOutcome(t, res, client.OutcomeUnknown)
 	expectHonest(t, r, "b", res)
 }
--- a/internal/tool/rig/openai_test.go
+++ b/internal/tool/local/openai_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"errors"
@@ -9,15 +9,15 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 // The official client library, unmodified, with its own retries.
 func TestOfficialClient(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Engines: 2})
-	user := openai.NewClient(option.WithBaseURL("http://"+r.Entries()[0].Callers+"/v1"), option.WithAPIKey(rig.Key))
+	r := start(t, local.Options{Entries: 1, Engines: 2})
+	user := openai.NewClient(option.WithBaseURL("http://"+r.Entries()[0].Callers+"/v1"), option.WithAPIKey(local.Key))
 	params := openai.ChatCompletionNewParams{
-		Model:    rig.ModelName,
+		Model:    local.ModelName,
 		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("plan len=25")},
 	}
 	ctx := testContext(t)
@@ -47,7 +47,7 @@
 	})
 	t.Run("completions and max_tokens", func(t *testing.T) {
 		res, err := user.Completions.New(ctx, openai.CompletionNewParams{
-			Model: rig.ModelName, MaxTokens: openai.Int(7), Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("len=25")},
+			Model: local.ModelName, MaxTokens: openai.Int(7), Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("len=25")},
 		})
 		if err != nil || len(strings.Fields(res.Choices[0].Text)) != 7 {
 			t.Fatalf("error %v, answer %v", err, res)
@@ -55,7 +55,7 @@
 	})
 	t.Run("models", func(t *testing.T) {
 		list, err := user.Models.List(ctx)
-		if err != nil || len(list.Data) != 1 || list.Data[0].ID != rig.ModelName {
+		if err != nil || len(list.Data) != 1 || list.Data[0].ID != local.ModelName {
 			t.Fatalf("error %v, list %v", err, list)
 		}
 	})
--- a/internal/tool/rig/rig.go
+++ b/internal/tool/local/rig.go
@@ -1,6 +1,6 @@
-// Package rig runs a small fleet with stand-ins in one process on loopback. The
+// Package local runs a small fleet with stand-ins in one process on loopback. The
 // demo, the load tool and the tests share it.
-package rig
+package local
 
 import (
 	"crypto/sha256"
@@ -22,7 +22,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/stand/confsv"
 	"github.com/mimosalock/mimosalock/internal/stand/engsrv"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 // Names that the default configuration uses.
@@ -48,7 +48,7 @@
 	Engines  int // per data centre
 	Plains   int // per data centre
 	Seed     uint64
-	Engine   sim.Config              // zero for a quick one
+	Engine   model.Config            // zero for a quick one
 	Adjust   func(s *setup.Settings) // changes the settings of every process
 	Config   func(f *spec.File)      // changes the first configuration
 	Links    bool                    // put a cuttable link before each agent
@@ -79,8 +79,8 @@
 }
 
 // QuickEngine is a warm, fast engine for tests of the path.
-func QuickEngine() sim.Config {
-	c := sim.Default()
+func QuickEngine() model.Config {
+	c := model.Default()
 	c.StepBase = 2 * time.Millisecond
 	c.StepPerSeq = 10 * time.Microsecond
 	c.StepPerPrefill = time.Microsecond
--- a/internal/tool/rig/rig_test.go
+++ b/internal/tool/local/rig_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"context"
@@ -7,24 +7,24 @@
 	"testing"
 	"time"
 
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const testTimeout = 60 * time.Second
 
 // steadyEngine makes a token every 5 ms, so that faults hit in mid-stream.
-func steadyEngine() sim.Config {
-	c := rig.QuickEngine()
+func steadyEngine() model.Config {
+	c := local.QuickEngine()
 	c.StepBase = 5 * time.Millisecond
 	c.StepPerSeq = 0
 	return c
 }
 
-func start(t *testing.T, o rig.Options) *rig.Rig {
+func start(t *testing.T, o local.Options) *local.Rig {
 	t.Helper()
-	r, err := rig.New(o)
+	r, err := local.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 
 // at returns a client that runs the fault once, when it has got so many tokens.
 func at(tokens int, fault func()) *client.Client {
-	c := client.New(rig.Key)
+	c := client.New(local.Key)
 	var once sync.Once
 	c.OnToken = func(n int) {
 		if n >= tokens {
@@ -54,7 +54,7 @@
 func prompt(length int) string { return fmt.Sprintf("plan len=%d", length) }
 
 // holds returns the node whose engine runs a stream.
-func holds(t *testing.T, r *rig.Rig) *rig.Node {
+func holds(t *testing.T, r *local.Rig) *local.Node {
 	t.Helper()
 	for _, n := range r.Engines() {
 		if _, _, running := n.Engine.Stats(); running > 0 {
--- a/internal/tool/rig/stream_test.go
+++ b/internal/tool/local/stream_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"bufio"
@@ -14,28 +14,28 @@
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/entry/gone"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 func TestStreamSurvives(t *testing.T) {
 	const length, faultAt = 200, 40
 	cases := []struct {
 		name  string
-		fault func(r *rig.Rig, n *rig.Node)
+		fault func(r *local.Rig, n *local.Node)
 	}{
-		{"cut link", func(_ *rig.Rig, n *rig.Node) { n.Link.Cut() }},
-		{"silent link", func(_ *rig.Rig, n *rig.Node) { n.Link.Silence() }},
-		{"stalled link", func(_ *rig.Rig, n *rig.Node) {
+		{"cut link", func(_ *local.Rig, n *local.Node) { n.Link.Cut() }},
+		{"silent link", func(_ *local.Rig, n *local.Node) { n.Link.Silence() }},
+		{"stalled link", func(_ *local.Rig, n *local.Node) {
 			n.Link.Stall(true)
 			time.AfterFunc(5*time.Second, func() { n.Link.Stall(false) })
 		}},
-		{"cut engine link", func(_ *rig.Rig, n *rig.Node) { n.Endpoint.Cut() }},
-		{"silent engine link", func(_ *rig.Rig, n *rig.Node) { n.Endpoint.Silence() }},
-		{"stalled engine", func(_ *rig.Rig, n *rig.Node) {
+		{"cut engine link", func(_ *local.Rig, n *local.Node) { n.Endpoint.Cut() }},
+		{"silent engine link", func(_ *local.Rig, n *local.Node) { n.Endpoint.Silence() }},
+		{"stalled engine", func(_ *local.Rig, n *local.Node) {
 			n.Engine.Stall(true)
 			time.AfterFunc(9*time.Second, func() { n.Engine.Stall(false) })
 		}},
-		{"agent restart", func(r *rig.Rig, n *rig.Node) {
+		{"agent restart", func(r *local.Rig, n *local.Node) {
 			r.KillAgent(n)
 			if err := r.StartAgent(n); err != nil {
 				panic(err)
@@ -45,9 +45,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, rig.Options{Entries: 1, Engines: 2, Engine: steadyEngine(), Links: true})
+			r := start(t, local.Options{Entries: 1, Engines: 2, Engine: steadyEngine(), Links: true})
 			user := at(faultAt, func() { c.fault(r, holds(t, r)) })
-			expectWhole(t, user.Generate(testContext(t), r.Entries()[0].Callers, rig.ModelName, prompt(length), 0), length)
+			expectWhole(t, user.Generate(testContext(t), r.Entries()[0].Callers, local.ModelName, prompt(length), 0), length)
 		})
 	}
 }
@@ -55,14 +55,14 @@
 func TestEngineDeath(t *testing.T) {
 	t.Run("after the first token", func(t *testing.T) {
 		t.Parallel()
-		r := start(t, rig.Options{Entries: 1, Engines: 2, Engine: steadyEngine()})
+		r := start(t, local.Options{Entries: 1, Engines: 2, Engine: steadyEngine()})
 		user := at(20, func() { holds(t, r).Engine.Close() })
-		res := user.Generate(testContext(t), r.Entries()[0].Callers, rig.ModelName, prompt(300), 0)
+		res := user.Generate(testContext(t), r.Entries()[0].Callers, local.ModelName, prompt(300), 0)
 		expectOutcome(t, res, client.OutcomeInterrupted)
 	})
 	t.Run("before the first token", func(t *testing.T) {
 		t.Parallel()
-		r := start(t, rig.Options{Entries: 1, Engines: 2, Engine: steadyEngine()})
+		r := start(t, local.Options{Entries: 1, Engines: 2, Engine: steadyEngine()})
 		for _, n := range r.Engines() {
 			n.Engine.Stall(true)
 		}
@@ -74,12 +74,12 @@
 				n.Engine.Stall(false)
 			}
 		}()
-		res := client.New(rig.Key).Generate(testContext(t), r.Entries()[0].Callers, rig.ModelName, prompt(50), 0)
+		res := client.New(local.Key).Generate(testContext(t), r.Entries()[0].Callers, local.ModelName, prompt(50), 0)
 		expectWhole(t, res, 50)
 	})
 	t.Run("whole delivery runs again", func(t *testing.T) {
 		t.Parallel()
-		r := start(t, rig.Options{Entries: 1, Engines: 2, Engine: steadyEngine(), Config: func(f *spec.File) {
+		r := start(t, local.Options{Entries: 1, Engines: 2, Engine: steadyEngine(), Config: func(f *spec.File) {
 			f.Services[0].Delivery = spec.DeliveryWhole
 		}})
 		go func() {
@@ -87,12 +87,12 @@
 			time.Sleep(200 * time.Millisecond)
 			holds(t, r).Engine.Close()
 		}()
-		res := client.New(rig.Key).Generate(testContext(t), r.Entries()[0].Callers, rig.ModelName, prompt(200), 0)
+		res := client.New(local.Key).Generate(testContext(t), r.Entries()[0].Callers, local.ModelName, prompt(200), 0)
 		expectWhole(t, res, 200)
 	})
 }
 
-func seen(r *rig.Rig) map[string]int {
+func seen(r *local.Rig) map[string]int {
 	out := map[string]int{}
 	for _, n := range r.Engines() {
 		for id, count := range n.Engine.Seen() {
@@ -103,11 +103,11 @@
 }
 
 func TestAnotherEntryTakesOver(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Engines: 2, Engine: steadyEngine(), Links: true})
+	r := start(t, local.Options{Entries: 2, Engines: 2, Engine: steadyEngine(), Links: true})
 	first, second := r.Entries()[0], r.Entries()[1]
 	user := at(40, func() { r.KillEntry(first) })
 	ctx := testContext(t)
-	res := user.Generate(ctx, first.Callers, rig.ModelName, prompt(300), 0)
+	res := user.Generate(ctx, first.Callers, local.ModelName, prompt(300), 0)
 	if res.Outcome == client.OutcomeComplete {
 		t.Fatal("the entry lived on")
 	}
@@ -116,10 +116,10 @@
 }
 
 func TestFinishedStreamCanBeResumed(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Engines: 1})
+	r := start(t, local.Options{Entries: 2, Engines: 1})
 	ctx := testContext(t)
-	user := client.New(rig.Key)
-	res := user.Generate(ctx, r.Entries()[0].Callers, rig.ModelName, prompt(30), 0)
+	user := client.New(local.Key)
+	res := user.Generate(ctx, r.Entries()[0].Callers, local.ModelName, prompt(30), 0)
 	expectWhole(t, res, 30)
 	id, _, err := callid.ParseEvent(res.LastEvent)
 	if err != nil {
@@ -130,29 +130,29 @@
 }
 
 func TestWorkspacesAreApart(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Engines: 1})
+	r := start(t, local.Options{Entries: 1, Engines: 1})
 	ctx := testContext(t)
 	addr := r.Entries()[0].Callers
-	res := client.New(rig.Key).Generate(ctx, addr, rig.ModelName, prompt(30), 0)
+	res := client.New(local.Key).Generate(ctx, addr, local.ModelName, prompt(30), 0)
 	expectWhole(t, res, 30)
-	stranger := client.New(rig.OtherKey).Resume(ctx, addr, client.Result{LastEvent: res.LastEvent})
+	stranger := client.New(local.OtherKey).Resume(ctx, addr, client.Result{LastEvent: res.LastEvent})
 	if stranger.Status != 404 || stranger.Tokens != 0 {
 		t.Fatalf("another workspace got status %d and %d tokens", stranger.Status, stranger.Tokens)
 	}
-	if unknown := client.New("no such key").Generate(ctx, addr, rig.ModelName, prompt(3), 0); unknown.Status != 401 {
+	if unknown := client.New("no such key").Generate(ctx, addr, local.ModelName, prompt(3), 0); unknown.Status != 401 {
 		t.Fatalf("an unknown key got status %d", unknown.Status)
 	}
 }
 
 func TestCallerGoesAway(t *testing.T) {
 	cases := []struct{ name, body string }{
-		{"whole answer", `{"model":"` + rig.ModelName + `","messages":[{"role":"user","content":"len=100000"}]}`},
-		{"stream", `{"model":"` + rig.ModelName + `","stream":true,"messages":[{"role":"user","content":"len=100000"}]}`},
+		{"whole answer", `{"model":"` + local.ModelName + `","messages":[{"role":"user","content":"len=100000"}]}`},
+		{"stream", `{"model":"` + local.ModelName + `","stream":true,"messages":[{"role":"user","content":"len=100000"}]}`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, rig.Options{Entries: 1, Engines: 1, Engine: steadyEngine(), Adjust: func(s *setup.Settings) { s.OrphanMs = 500 }})
+			r := start(t, local.Options{Entries: 1, Engines: 1, Engine: steadyEngine(), Adjust: func(s *setup.Settings) { s.OrphanMs = 500 }})
 			conn := post(t, r.Entries()[0].Callers, c.body)
 			engine := r.Engines()[0].Engine
 			eventually(t, "the engine runs the call", func() bool {
@@ -179,7 +179,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + rig.Key + "\r\nContent-Length: "
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + local.Key + "\r\nContent-Length: "
 	w := bufio.NewWriter(conn)
 	_, _ = w.WriteString(head + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
 	if err := w.Flush(); err != nil {
@@ -189,29 +189,29 @@
 }
 
 func TestSlowCaller(t *testing.T) {
-	r := start(t, rig.Options{Entries: 1, Engines: 1, Adjust: func(s *setup.Settings) {
+	r := start(t, local.Options{Entries: 1, Engines: 1, Adjust: func(s *setup.Settings) {
 		s.SlowCallerMs, s.OrphanMs, s.BufferBytes = 1000, 500, 1<<20
 	}})
 	addr := r.Entries()[0].Callers
-	long := `{"model":"` + rig.ModelName + `","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("x", 40) + ` len=60000"}]}`
+	long := `{"model":"` + local.ModelName + `","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("x", 40) + ` len=60000"}]}`
 	post(t, addr, long) // never reads
 	engine := r.Engines()[0].Engine
 	eventually(t, "the engine runs the call", func() bool { _, _, n := engine.Stats(); return n == 1 })
-	expectWhole(t, client.New(rig.Key).Generate(testContext(t), addr, rig.ModelName, prompt(100), 0), 100)
+	expectWhole(t, client.New(local.Key).Generate(testContext(t), addr, local.ModelName, prompt(100), 0), 100)
 	eventually(t, "the slow caller's generation is ended", func() bool { _, _, n := engine.Stats(); return n == 0 })
 }
 
 // A third of the endpoints die under load. Retries stay within a tenth of the
 // first tries, beside what each entry may spend at its start.
 func TestRetriesStayBounded(t *testing.T) {
-	r := start(t, rig.Options{Entries: 2, Engines: 6})
+	r := start(t, local.Options{Entries: 2, Engines: 6})
 	ctx := testContext(t)
 	var all sync.WaitGroup
 	for i := range 12 {
 		all.Go(func() {
 			for range 12 {
 				e := r.Entries()[i%2]
-				client.New(rig.Key).Generate(ctx, e.Callers, rig.ModelName, prompt(60), 0)
+				client.New(local.Key).Generate(ctx, e.Callers, local.ModelName, prompt(60), 0)
 			}
 		})
 	}
--- a/internal/tool/rig/tls_test.go
+++ b/internal/tool/local/tls_test.go
@@ -1,4 +1,4 @@
-package rig_test
+package local_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/mimosalock/mimosalock/internal/fleet/secur"
 	"github.com/mimosalock/mimosalock/internal/stand/certs"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -18,9 +18,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := start(t, rig.Options{Entries: 1, Engines: 1, TLS: keys})
+	r := start(t, local.Options{Entries: 1, Engines: 1, TLS: keys})
 	ctx := testContext(t)
-	expectWhole(t, client.New(rig.Key).Generate(ctx, r.Entries()[0].Callers, rig.ModelName, prompt(20), 0), 20)
+	expectWhole(t, client.New(local.Key).Generate(ctx, r.Entries()[0].Callers, local.ModelName, prompt(20), 0), 20)
 
 	foreign, err := certs.Write(t.TempDir())
 	if err != nil {
--- a/internal/tool/policy/policy.go
+++ b/internal/tool/policy/policy.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"github.com/mimosalock/mimosalock/internal/agent/admit"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 // Names of the policies.
@@ -50,7 +50,7 @@
 // scene is the fleet of one run.
 type scene struct {
 	workers int
-	engine  sim.Config
+	engine  model.Config
 	cold    bool // all engines begin cold
 	seed    uint64
 }
@@ -74,7 +74,7 @@
 	}
 	w.policy = policy
 	for i := range s.workers {
-		k := &worker{index: i, engine: sim.New(s.engine), door: s.door(name)}
+		k := &worker{index: i, engine: model.New(s.engine), door: s.door(name)}
 		if !s.cold {
 			k.engine.WarmUp()
 		}
@@ -168,8 +168,8 @@
 }
 
 // crowded is an engine whose memory, not its batch, is the bound.
-func crowded() sim.Config {
-	c := sim.Default()
+func crowded() model.Config {
+	c := model.Default()
 	c.CacheTokens = 40_000
 	c.WarmTokens = 20_000
 	return c
--- a/internal/tool/policy/work.go
+++ b/internal/tool/policy/work.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/agent/admit"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 // call is one generation of the work.
 type call struct {
 	req     admit.Request
-	seq     *sim.Seq
+	seq     *model.Seq
 	at      time.Duration // arrival
 	first   time.Duration // of the first token
 	last    time.Duration // of the latest token
@@ -117,7 +117,7 @@
 		c.req.Class, c.req.Priority, c.req.Queue = classPlan, planPriority, planQueue
 		length = min(longestPlan, 1+int(math.Exp(planMu+planSigma*rng.NormFloat64())))
 	}
-	c.seq = &sim.Seq{ID: c.req.ID, Prompt: c.req.Prompt, Prefix: prefix, Shared: sharedTokens, Priority: c.req.Priority, Length: length}
+	c.seq = &model.Seq{ID: c.req.ID, Prompt: c.req.Prompt, Prefix: prefix, Shared: sharedTokens, Priority: c.req.Priority, Length: length}
 	return c
 }
 
--- a/internal/tool/policy/world.go
+++ b/internal/tool/policy/world.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 )
 
 // world is one run: workers, a clock and a policy.
@@ -27,10 +27,10 @@
 // worker is one engine and its admission.
 type worker struct {
 	index   int
-	engine  *sim.Engine
+	engine  *model.Engine
 	door    door
 	step    bool // a step is under way
-	pending []sim.Event
+	pending []model.Event
 	past    figures // the report that others see, one interval old
 	present figures
 	tokens  int
@@ -164,12 +164,12 @@
 	for _, ev := range k.pending {
 		c := w.byID[ev.Seq.ID]
 		switch ev.Kind {
-		case sim.EventToken:
+		case model.EventToken:
 			w.token(k, c)
-		case sim.EventFinished:
+		case model.EventFinished:
 			c.done = true
 			k.door.finished(w, k, c)
-		case sim.EventPreempted:
+		case model.EventPreempted:
 		}
 	}
 	k.door.tick(w, k)
--- a/internal/tool/recov/recov.go
+++ b/internal/tool/recov/recov.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
-	"github.com/mimosalock/mimosalock/internal/stand/sim"
+	"github.com/mimosalock/mimosalock/internal/stand/model"
 	"github.com/mimosalock/mimosalock/internal/tool/client"
-	"github.com/mimosalock/mimosalock/internal/tool/rig"
+	"github.com/mimosalock/mimosalock/internal/tool/local"
 )
 
 const (
@@ -64,7 +64,7 @@
 	for i := range 4 {
 		centres = append(centres, spec.DataCentre{Name: fmt.Sprintf("centre-%d", i), Region: "west"})
 	}
-	r, err := rig.New(rig.Options{Centres: centres, Entries: 2, Plains: processes/4 - 2})
+	r, err := local.New(local.Options{Centres: centres, Entries: 2, Plains: processes/4 - 2})
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +84,7 @@
 	return []Spread{whole, hurt}, err
 }
 
-func spread(r *rig.Rig, dead int) (Spread, error) {
+func spread(r *local.Rig, dead int) (Spread, error) {
 	s := Spread{Processes: len(r.Agents()) + len(r.Entries()), Dead: dead}
 	calls := r.Platform.Calls()
 	for range spreadChanges {
@@ -102,8 +102,8 @@
 	return s, nil
 }
 
-func steady() sim.Config {
-	c := rig.QuickEngine()
+func steady() model.Config {
+	c := local.QuickEngine()
 	c.StepBase, c.StepPerSeq = tokenGap, 0
 	return c
 }
@@ -112,19 +112,19 @@
 func Stalls() ([]Stall, error) {
 	kinds := []struct {
 		name  string
-		fault func(r *rig.Rig, n *rig.Node)
+		fault func(r *local.Rig, n *local.Node)
 	}{
-		{"none", func(*rig.Rig, *rig.Node) {}},
-		{"link cut", func(_ *rig.Rig, n *rig.Node) { n.Link.Cut() }},
-		{"link silent", func(_ *rig.Rig, n *rig.Node) { n.Link.Silence() }},
-		{"engine link cut", func(_ *rig.Rig, n *rig.Node) { n.Endpoint.Cut() }},
-		{"engine link silent", func(_ *rig.Rig, n *rig.Node) { n.Endpoint.Silence() }},
-		{"agent restart", func(r *rig.Rig, n *rig.Node) {
+		{"none", func(*local.Rig, *local.Node) {}},
+		{"link cut", func(_ *local.Rig, n *local.Node) { n.Link.Cut() }},
+		{"link silent", func(_ *local.Rig, n *local.Node) { n.Link.Silence() }},
+		{"engine link cut", func(_ *local.Rig, n *local.Node) { n.Endpoint.Cut() }},
+		{"engine link silent", func(_ *local.Rig, n *local.Node) { n.Endpoint.Silence() }},
+		{"agent restart", func(r *local.Rig, n *local.Node) {
 			r.KillAgent(n)
 			_ = r.StartAgent(n) // a failure shows as an interrupted stream
 		}},
-		{"entry death", func(r *rig.Rig, _ *rig.Node) { r.KillEntry(r.Entries()[0]) }},
-		{"engine death", func(_ *rig.Rig, n *rig.Node) { n.Engine.Close() }},
+		{"entry death", func(r *local.Rig, _ *local.Node) { r.KillEntry(r.Entries()[0]) }},
+		{"engine death", func(_ *local.Rig, n *local.Node) { n.Engine.Close() }},
 	}
 	var out []Stall
 	for _, k := range kinds {
@@ -138,15 +138,15 @@
 	return out, nil
 }
 
-func stall(fault func(r *rig.Rig, n *rig.Node)) (Stall, error) {
-	r, err := rig.New(rig.Options{Entries: 2, Engines: 2, Engine: steady(), Links: true})
+func stall(fault func(r *local.Rig, n *local.Node)) (Stall, error) {
+	r, err := local.New(local.Options{Entries: 2, Engines: 2, Engine: steady(), Links: true})
 	if err != nil {
 		return Stall{}, err
 	}
 	defer r.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	user := client.New(rig.Key)
+	user := client.New(local.Key)
 	last, longest := time.Now(), time.Duration(0)
 	var once sync.Once
 	user.OnToken = func(n int) {
@@ -158,7 +158,7 @@
 			once.Do(func() { go fault(r, busy(r)) })
 		}
 	}
-	res := user.Generate(ctx, r.Entries()[0].Callers, rig.ModelName, fmt.Sprintf("len=%d", length), 0)
+	res := user.Generate(ctx, r.Entries()[0].Callers, local.ModelName, fmt.Sprintf("len=%d", length), 0)
 	if res.Outcome == client.OutcomeBroken {
 		res = user.Resume(ctx, r.Entries()[1].Callers, res)
 	}
@@ -166,7 +166,7 @@
 }
 
 // busy returns the node whose engine runs a stream.
-func busy(r *rig.Rig) *rig.Node {
+func busy(r *local.Rig) *local.Node {
 	for _, n := range r.Engines() {
 		if _, _, running := n.Engine.Stats(); running > 0 {
 			return n
@@ -178,7 +178,7 @@
 // Moves measures the service before, while and after a data centre is out.
 func Moves() ([]Move, error) {
 	centres := []spec.DataCentre{{Name: "galway-a", Region: "west"}, {Name: away, Region: "west"}}
-	r, err := rig.New(rig.Options{Centres: centres, Entries: 1, Engines: 2, Engine: steady()})
+	r, err := local.New(local.Options{Centres: centres, Entries: 1, Engines: 2, Engine: steady()})
 	if err != nil {
 		return nil, err
 	}
@@ -192,10 +192,10 @@
 	var all sync.WaitGroup
 	for i := range moveCallers {
 		all.Go(func() {
-			user := client.New(rig.Key)
+			user := client.New(local.Key)
 			for ctx.Err() == nil {
 				entries := r.Entries()
-				res := user.Generate(context.Background(), entries[i%len(entries)].Callers, rig.ModelName, "len=100", 0)
+				res := user.Generate(context.Background(), entries[i%len(entries)].Callers, local.ModelName, "len=100", 0)
 				mu.Lock()
 				results[phase] = append(results[phase], res)
 				mu.Unlock()
