Metrics, bounded logs, reload of settings, check of settings files; a run that ends in its move

Cause: the whole-path test found a stream that was delivered whole and then cut: its run ended by itself while the final move was on its way, and the engine's 404 was taken for a loss. A clean end together with 'no such run' is a whole answer.

--- a/internal/node/cmds/cli_test.go
+++ b/internal/node/cmds/cmds_test.go
@@ -33,6 +33,16 @@
 	good := write(t, dir, "a.service.jsonc", `{"data_centres": [{"name": "mayo-a", "region": "n"}]}`)
 	bad := write(t, t.TempDir(), "b.service.jsonc", "{\n  \"data_centres\": [{\"nme\": \"x\"}],\n}")
 	settings := write(t, dir, "s.jsonc", "{\n  \"host\": \"a b\",\n  \"peer\": \"10.0.0.1:1\",\n  \"silence_ms\": 1,\n}")
+	// folder holds a good service file and the settings of an entry.
+	folder := func(settings string) string {
+		dir := t.TempDir()
+		write(t, dir, "a.service.jsonc", `{"data_centres": [{"name": "mayo-a", "region": "n"}]}`)
+		if err := os.Mkdir(filepath.Join(dir, settingsFolder), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		write(t, filepath.Join(dir, settingsFolder), "entry.jsonc", settings)
+		return dir
+	}
 	cases := []struct {
 		name string
 		args []string
@@ -47,6 +57,9 @@
 		{"check bad", []string{"check", bad}, 1, `:2:21: unknown field "nme", did you mean "name"?`},
 		{"check nothing", []string{"check", t.TempDir()}, 1, "no service files"},
 		{"check missing", []string{"check", "no-such-file"}, 1, "no such file"},
+		{"check settings cut short", []string{"check", folder("{\n  \"host\": \"a\",\n  \"peer\"")}, 1, "entry.jsonc:3:"},
+		{"check settings misspelt", []string{"check", folder(`{"hots": "a"}`)}, 1, `entry.jsonc:1:2: unknown field "hots"`},
+		{"check settings mistyped", []string{"check", folder(`{"host": 5}`)}, 1, "entry.jsonc:1:10:"},
 		{"publish bad", []string{"publish", "--out", dir, bad}, 1, "unknown field"},
 		{"settings: every fault at its place", []string{"entry", "--settings", settings}, 1, "s.jsonc:2:11: host \"a b\""},
 		{"settings: tls", []string{"entry", "--settings", settings}, 1, "s.jsonc:3:11: peer address 10.0.0.1:1 is not loopback"},
--- a/internal/node/cmds/config.go
+++ b/internal/node/cmds/config.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/mimosalock/mimosalock/internal/conf/bundle"
@@ -20,12 +21,13 @@
 
 // Execute prints every fault.
 func (c *checkCommand) Execute([]string) error {
+	settings, settingsErr := c.env.checkSettings(c.Args.Paths)
 	res, err := c.env.check(c.Args.Paths)
-	if err != nil {
+	if err = cmp.Or(err, settingsErr); err != nil {
 		return err
 	}
-	c.env.say("%d files, %d data centres, %d services, %d workspaces: no faults",
-		res.Files, len(res.Merged.DataCentres), len(res.Merged.Services), len(res.Merged.Workspaces))
+	c.env.say("%d service files, %d settings files, %d data centres, %d services, %d workspaces: no faults",
+		res.Files, settings, len(res.Merged.DataCentres), len(res.Merged.Services), len(res.Merged.Workspaces))
 	return nil
 }
 
--- a/internal/ops/logs/logs.go
+++ b/internal/ops/logs/logs.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
@@ -23,3 +24,20 @@
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(format), zapcore.Lock(zapcore.AddSync(w)), parsed)
 	return zap.New(core), nil
 }
+
+const (
+	burst = 200 // lines of one event in a second that are all written; an entry at the target's size writes 10
+	oneIn = 50  // of the lines above that
+)
+
+// Sampled bounds the lines of each event. dropped is told of each line left out.
+func Sampled(log *zap.Logger, dropped func()) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, burst, oneIn, zapcore.SamplerHook(
+			func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+				if decision&zapcore.LogDropped != 0 {
+					dropped()
+				}
+			}))
+	}))
+}
--- a/internal/ops/meter/meter.go
+++ b/internal/ops/meter/meter.go
@@ -17,6 +17,8 @@
 	CallTime   *prometheus.HistogramVec // by service
 	RouteTime  prometheus.Histogram     // from the request to the accepted offer
 	CrossBytes prometheus.Counter       // relayed from another region
+	Handovers  *prometheus.CounterVec   // by result: moved, failed
+	LogDropped prometheus.Counter       // lines left out of the log
 
 	Admission  *prometheus.CounterVec // by verdict
 	Refused    *prometheus.CounterVec // by kind
@@ -41,6 +43,8 @@
 		CallTime:   histograms("call_seconds", "Time from request to the end of the answer.", "service"),
 		RouteTime:  histogram("route_seconds", "Time from request to an accepted offer."),
 		CrossBytes: counter("cross_region_bytes_total", "Answer bytes relayed from another region."),
+		Handovers:  counters("handovers_total", "Moves of running generations to another engine, by result.", "result"),
+		LogDropped: counter("log_lines_dropped_total", "Log lines left out by sampling or a slow reader."),
 		Admission:  counters("admission_total", "Admission decisions, by verdict.", "verdict"),
 		Refused:    counters("refusals_total", "Refused offers, by kind.", "kind"),
 		Ended:      counters("runs_ended_total", "Runs ended, by outcome.", "outcome"),
@@ -54,7 +58,7 @@
 	}
 	m.Registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallTime, m.RouteTime, m.CrossBytes, m.Admission, m.Refused,
+		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallTime, m.RouteTime, m.CrossBytes, m.Handovers, m.LogDropped, m.Admission, m.Refused,
 		m.Ended, m.Running, m.Waiting, m.Limit, m.Buffered, m.Tokens, m.FirstToken, m.TokenGap,
 	)
 	return m
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -184,16 +185,18 @@
 	if err != nil {
 		return r.moveFailed(src, target, true, err)
 	}
+	r.s.Meter.Handovers.WithLabelValues("moved").Inc()
 	r.s.Log.Info("moved", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", target.Endpoint.ID),
 		zap.Duration("copy_took", copied.Sub(began)), zap.Duration("stop_took", time.Since(copied)))
 	return opened{moved: &Memory{Address: src.lease.Endpoint.Address, Handle: handle}, target: target}
 }
 
 func (r *streamRun) moveFailed(src *source, target *book.Lease, final bool, err error) opened {
+	r.s.Meter.Handovers.WithLabelValues("failed").Inc()
 	r.s.Log.Info("move_failed", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
 		zap.String("to", target.Endpoint.ID), zap.Bool("final", final), zap.Error(err))
 	target.Release(time.Now(), outcomeNone)
-	return opened{refused: ReasonLost, avoid: target.Endpoint.ID}
+	return opened{refused: ReasonLost, avoid: target.Endpoint.ID, notRunning: errors.Is(err, ErrNotRunning)}
 }
 
 // goOn sends the stream to the engine that its memory was moved to.
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -26,10 +27,14 @@
 type Upstream interface {
 	Send(ctx context.Context, to endpt.Endpoint, s Shipment) (*Answer, error)
 	// Move copies a running generation's memory to another engine. A final move
-	// stops the run first and returns the memory's handle.
+	// stops the run first and returns the memory's handle. The error is
+	// ErrNotRunning if the run has ended by itself.
 	Move(ctx context.Context, from endpt.Endpoint, callID string, to endpt.Endpoint, final bool) (handle string, err error)
 }
 
+// ErrNotRunning is returned by Move for a run that has ended.
+var ErrNotRunning = errors.New("the engine runs no such call")
+
 // Sink takes the answer for the caller.
 type Sink interface {
 	Begin(a *Answer)
--- a/internal/router/serve/serve_test.go
+++ b/internal/router/serve/serve_test.go
@@ -53,6 +53,8 @@
 	stop     func()   // ends the run of a source that a final move stopped
 	moveErr  error
 	moveTime time.Duration
+
+	endsItself bool // the run ends just before a final move reaches it
 }
 
 func (u *upstream) Send(ctx context.Context, to endpt.Endpoint, s Shipment) (*Answer, error) {
@@ -92,6 +94,10 @@
 	if u.moveErr != nil {
 		return "", u.moveErr
 	}
+	if final && u.endsItself {
+		time.Sleep(reportLag)
+		return "", fmt.Errorf("move: %w", ErrNotRunning)
+	}
 	if final {
 		u.stop()
 		time.Sleep(reportLag)
@@ -394,6 +400,20 @@
 	}
 }
 
+// A run that ends by itself while it is being moved is complete.
+func TestEndMeetsTheMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stream(0, 16)) // ends at 800 ms
+		b.endsItself, b.moveTime = true, 140*time.Millisecond
+		go func() {
+			time.Sleep(650 * time.Millisecond)
+			b.leave()
+		}()
+		expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), claim.OutcomeComplete, 16)
+		expectNothingHeld(t, b)
+	})
+}
+
 // leave takes the endpoint of the first send away.
 func (b *bench) leave() {
 	b.mu.Lock()
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -36,6 +36,7 @@
 	moved   *Memory     // the present source was stopped and its memory lies here
 	target  *book.Lease // the engine that the memory was moved to
 	moving  atomic.Bool // the present source is being stopped by a final move
+	ended   bool        // the last source's body was complete, but a move was under way
 	begun   bool
 	lastID  string
 	last    int64    // lastID as a number, -1 if it is none
@@ -54,12 +55,13 @@
 
 // opened reports a step: a new source, a moved memory, or neither.
 type opened struct {
-	source  *source
-	attempt attempt
-	moved   *Memory
-	target  *book.Lease // of a moved memory
-	refused Reason      // no place was found
-	avoid   string      // an engine that took no copy
+	source     *source
+	attempt    attempt
+	moved      *Memory
+	target     *book.Lease // of a moved memory
+	refused    Reason      // no place was found
+	avoid      string      // an engine that took no copy
+	notRunning bool        // the run had ended by itself before it could be moved
 }
 
 // stream serves a call that is answered by events.
@@ -135,8 +137,8 @@
 	case it.err == nil:
 		return r.forward(it)
 	case errors.Is(it.err, io.EOF) && r.moved == nil && r.moving.Load():
-		r.source.close(time.Now(), outcomeNone) // stopped by the move, whose report follows
-		r.source = nil
+		r.source.close(time.Now(), outcomeNone) // stopped by the move, or at its end: the report tells
+		r.source, r.ended = nil, true
 		return Result{}, false
 	case errors.Is(it.err, io.EOF) && r.moved == nil:
 		r.source.close(time.Now(), outcomeGood)
@@ -216,6 +218,9 @@
 			r.goOn(ctx, *r.moved)
 		}
 		return Result{}, false
+	case o.notRunning && r.ended:
+		r.state = r.state.WithFinish()
+		return Result{Outcome: claim.OutcomeComplete}, true
 	case o.refused != ReasonNone:
 		r.reason = o.refused
 		r.moving.Store(false)
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -77,13 +77,24 @@
 // New returns a group that knows only the seeds.
 func New(cfg Config) *Group {
 	g := &Group{cfg: cfg, peers: map[string]*peer{}, leaving: map[string]leaving{}}
-	for _, seed := range cfg.Seeds {
-		if seed != cfg.Address {
-			g.seeds = append(g.seeds, seed)
+	g.SetSeeds(cfg.Seeds)
+	return g
+}
+
+// SetSeeds replaces the addresses that are asked until they answer.
+func (g *Group) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = nil
+	for _, seed := range seeds {
+		if seed == g.cfg.Address {
+			continue
+		}
+		g.seeds = append(g.seeds, seed)
+		if g.peers[seed] == nil {
 			g.peers[seed] = &peer{}
 		}
 	}
-	return g
 }
 
 // Processes counts the processes heard within the last minute, this one included.
