--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -28,15 +28,16 @@
 	tokenWeight  = 0.5
 	unreadWeight = 3.0
 
-	regionPenalty = 0.5  // of an endpoint's capacity, for another region's
-	centrePenalty = 0.02 // for another data centre of the same region
-	queuePenalty  = 0.05 // for each move that the new one queues behind
-	movePenalty   = 1.0  // for a move to another data centre: it takes twice as long
+	regionPenalty   = 0.5  // of an endpoint's capacity, for another region's
+	strangerPenalty = 0.25 // for one whose other work this process does not know
+	centrePenalty   = 0.02 // for another data centre of the same region
+	queuePenalty    = 0.05 // for each move that the new one queues behind
+	movePenalty     = 1.0  // for a move to another data centre: it takes twice as long
 
 	runSpread  = 0.01
 	moveSpread = 0.1
 
-	peerLoadAge = 2 * time.Second // a silent peer's load counts for so long
+	peerLoadAge = 3 * time.Second // a silent peer's load counts for so long
 	coldWindow  = time.Second
 
 	suspectFirst = 500 * time.Millisecond
@@ -71,6 +72,9 @@
 	Name       string       // of this process, as peers know it
 	Entries    func() int   // processes that share allowances, at least 1
 	Draw       func() int64 // randomness that breaks ties
+	// Home reports whether this process is one of the few that share an endpoint
+	// of its region and know of each other's work there. nil means yes.
+	Home func(id string) bool
 }
 
 // Book is safe for concurrent use.
@@ -346,6 +350,8 @@
 		return 0
 	case e.endpoint.Region != b.cfg.Region:
 		return regionPenalty
+	case b.cfg.Home != nil && !b.cfg.Home(e.endpoint.ID):
+		return strangerPenalty
 	case e.endpoint.DataCentre != b.cfg.DataCentre:
 		return centrePenalty
 	}
--- a/internal/router/book/list.go
+++ b/internal/router/book/list.go
@@ -1,6 +1,7 @@
 package book
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
@@ -101,6 +102,20 @@
 	return out
 }
 
+// IDs returns the endpoints of a region, sorted.
+func (b *Book) IDs(region string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for id, e := range b.endpoints {
+		if e.endpoint.Region == region {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Remove records that the registry no longer lists an endpoint. With a grace it
 // stays usable until then, since its entry may have expired while the registry
 // was away.
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -2,11 +2,16 @@
 // have placed and which endpoints they know to leave. Messages carry absolute
 // state, so that a lost one is made good by the next. The package does no input
 // or output.
+//
+// In a large fleet each endpoint has a few home processes, chosen by rendezvous
+// hashing among those of its region. Only processes that share an endpoint keep
+// each other informed of their load; all others hear of each other by gossip.
 package share
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,38 +23,57 @@
 )
 
 const (
-	heartbeat  = 500 * time.Millisecond // at least one message to each peer in this time
-	lostAfter  = 2 * time.Second        // a silent peer's load no longer counts
-	forgotten  = time.Minute            // a silent peer is no longer counted as a process
-	seedEvery  = time.Second            // seeds that do not answer are asked again
-	recent     = 5 * time.Second        // how long a leaving endpoint is passed on
-	leaders    = 3                      // processes that follow the registry closely; two may fail together
-	maxMembers = 64                     // addresses in one message
+	heartbeat = 500 * time.Millisecond // at least one message to each partner in this time
+	lostAfter = 2 * time.Second        // a process that was heard itself is lost after this silence
+	forgotten = time.Minute            // a silent process is no longer counted as one
+	seedEvery = time.Second            // seeds that do not answer are asked again
+	recent    = 5 * time.Second        // how long a leaving endpoint is passed on
+	leaders   = 3                      // processes that follow the registry closely; two may fail together
+
+	// gossipTo and gossipMembers bound what processes without a common endpoint
+	// tell each other: at the target's size about 1 KB a second.
+	gossipTo      = 4
+	gossipMembers = 8
+	// newsSpacing times the square of the partners' number is the shortest time
+	// between two messages to one, so that a process sends no more the more
+	// partners it has.
+	newsSpacing = 3 * time.Millisecond
 )
 
-// message is what one process tells its peers.
+// message is what one process tells another.
 type message struct {
 	Address     string            `msgpack:"a"` // of the sender, IP:port
+	Region      string            `msgpack:"r"`
 	Incarnation uint64            `msgpack:"i"`
 	Sequence    uint64            `msgpack:"s"`
 	Loads       map[string][4]int `msgpack:"l"` // the fields of book.Load by endpoint ID
 	Leaving     map[string]int64  `msgpack:"g"` // birth by endpoint ID
 	Follows     bool              `msgpack:"f"` // the sender's registry answers
-	Members     []string          `msgpack:"m"` // addresses of live peers
+	Members     []member          `msgpack:"m"` // some of the processes that the sender knows
+}
+
+type member struct {
+	Address string `msgpack:"a"`
+	Region  string `msgpack:"r"`
+	AgeMs   int64  `msgpack:"t"` // since it was last heard of
 }
 
 type peer struct {
-	heard       time.Time // zero for one never heard
+	region      string
+	heard       time.Time // its newest own message, zero for none
+	known       time.Time // the newest sign of life, also through others
 	sent        time.Time
 	incarnation uint64
 	sequence    uint64
 	lost        bool
 	follows     bool // its registry answers
+	partner     bool // shares an endpoint
 }
 
 // Config is what a Group is built from.
 type Config struct {
 	Address     string // of this process, IP:port
+	Region      string
 	Incarnation uint64 // random, different for each start of the process
 	Seeds       []string
 	Book        *book.Book
@@ -64,9 +88,11 @@
 	peers    map[string]*peer // by address
 	seeds    []string
 	leaving  map[string]leaving
+	homes    homes
 	sequence uint64
 	last     map[string][4]int // loads of the newest message
 	changed  bool              // something to tell besides loads
+	gossiped time.Time
 }
 
 type leaving struct {
@@ -77,6 +103,7 @@
 // New returns a group that knows only the seeds.
 func New(cfg Config) *Group {
 	g := &Group{cfg: cfg, peers: map[string]*peer{}, leaving: map[string]leaving{}}
+	g.homes.members = []string{cfg.Address}
 	g.SetSeeds(cfg.Seeds)
 	return g
 }
@@ -97,26 +124,35 @@
 	}
 }
 
-// Processes counts the processes heard within the last minute, this one included.
+// Processes counts the processes known to have lived within the last minute,
+// this one included.
 func (g *Group) Processes(now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	count := 1
 	for _, p := range g.peers {
-		if !p.heard.IsZero() && now.Sub(p.heard) < forgotten {
+		if p.alive(now, forgotten) {
 			count++
 		}
 	}
 	return count
 }
 
+// alive reports a sign of life within a time.
+func (p *peer) alive(now time.Time, within time.Duration) bool {
+	return !p.known.IsZero() && now.Sub(p.known) < within
+}
+
+// near reports whether the process itself was heard lately.
+func (p *peer) near(now time.Time) bool { return !p.heard.IsZero() && now.Sub(p.heard) < lostAfter }
+
 // Informed reports whether a live peer's registry answers, so that what it says
 // of leaving endpoints reaches this process as well.
 func (g *Group) Informed(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.peers {
-		if p.follows && now.Sub(p.heard) < lostAfter {
+		if p.follows && p.near(now) {
 			return true
 		}
 	}
@@ -131,13 +167,20 @@
 	defer g.mu.Unlock()
 	before := 0
 	for address, p := range g.peers {
-		if address < g.cfg.Address && p.follows && now.Sub(p.heard) < lostAfter {
+		if address < g.cfg.Address && p.follows && p.near(now) {
 			before++
 		}
 	}
 	return before < leaders
 }
 
+// Home reports whether this process is one of an endpoint's homes.
+func (g *Group) Home(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.homes.includes(g.cfg.Address, id)
+}
+
 // Left notes an endpoint that gets no new work, to be passed on.
 func (g *Group) Left(now time.Time, id string, born int64) {
 	g.mu.Lock()
@@ -153,57 +196,74 @@
 	for id, l := range g.cfg.Book.Loads() {
 		loads[id] = [4]int{l.Calls, l.Tokens, l.Unread, l.Moves}
 	}
-	g.mu.Lock()
+	endpoints := g.cfg.Book.IDs(g.cfg.Region)
+	g.mu.Lock() // after the book was asked: the book asks for homes while it is locked
 	defer g.mu.Unlock()
 	g.expire(now)
-	news := g.changed || !sameLoads(loads, g.last)
-	for address, p := range g.peers {
-		if g.due(now, address, p, news) {
-			to = append(to, address)
-			p.sent = now
-		}
-	}
+	g.findPartners(now, endpoints)
+	to = g.receivers(now, g.changed || !maps.Equal(loads, g.last))
 	if len(to) == 0 {
 		return nil, nil, nil
 	}
-	slices.Sort(to)
+	for _, address := range to {
+		g.peers[address].sent = now
+	}
 	g.last, g.changed = loads, false
 	g.sequence++
 	raw, err = msgpack.Marshal(message{
-		Address: g.cfg.Address, Incarnation: g.cfg.Incarnation, Sequence: g.sequence,
-		Loads: loads, Leaving: g.recentlyLeft(), Members: g.live(now), Follows: g.cfg.Follows(),
+		Address: g.cfg.Address, Region: g.cfg.Region, Incarnation: g.cfg.Incarnation, Sequence: g.sequence,
+		Loads: loads, Leaving: g.recentlyLeft(), Members: g.someMembers(now), Follows: g.cfg.Follows(),
 	})
 	return to, raw, err
 }
 
-func sameLoads(a, b map[string][4]int) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, l := range a {
-		if b[id] != l {
-			return false
+// receivers chooses who gets a message now: partners with news or a heartbeat, a
+// few others by chance, and seeds that do not answer.
+func (g *Group) receivers(now time.Time, news bool) []string {
+	var to, others []string
+	spacing := g.spacing()
+	for address, p := range g.peers {
+		since := now.Sub(p.sent)
+		switch {
+		case p.partner && p.near(now):
+			if news && since >= spacing || since >= max(heartbeat, spacing) {
+				to = append(to, address)
+			}
+		case p.alive(now, forgotten):
+			others = append(others, address)
+		case slices.Contains(g.seeds, address) && since >= seedEvery:
+			to = append(to, address)
 		}
 	}
-	return true
+	if now.Sub(g.gossiped) >= heartbeat && len(others) > 0 {
+		g.gossiped = now
+		slices.Sort(others)
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		to = append(to, others[:min(len(others), gossipTo)]...)
+	}
+	slices.Sort(to)
+	return to
 }
 
-// due reports whether a peer gets a message now. Peers that are silent get one
-// now and then only if they are seeds: others are told of by those that hear them.
-func (g *Group) due(now time.Time, address string, p *peer, news bool) bool {
-	if now.Sub(p.heard) < lostAfter {
-		return news || now.Sub(p.sent) >= heartbeat
+// spacing is the shortest time between two messages to one partner.
+func (g *Group) spacing() time.Duration {
+	partners := 0
+	for _, p := range g.peers {
+		if p.partner {
+			partners++
+		}
 	}
-	return (slices.Contains(g.seeds, address) || now.Sub(p.heard) < forgotten) && now.Sub(p.sent) >= seedEvery
+	return time.Duration(partners*partners) * newsSpacing
 }
 
+// expire forgets what is over.
 func (g *Group) expire(now time.Time) {
 	for address, p := range g.peers {
-		if !p.heard.IsZero() && !p.lost && now.Sub(p.heard) >= lostAfter {
+		if !p.heard.IsZero() && !p.lost && !p.near(now) && p.partner {
 			p.lost = true
 			g.cfg.Log.Info("peer_lost", zap.String("peer", address), zap.Duration("silent", now.Sub(p.heard)))
 		}
-		if now.Sub(p.heard) >= forgotten && !slices.Contains(g.seeds, address) {
+		if !p.alive(now, forgotten) && !slices.Contains(g.seeds, address) {
 			delete(g.peers, address)
 		}
 	}
@@ -214,6 +274,25 @@
 	}
 }
 
+// findPartners finds the partners again when the region's processes or endpoints
+// have changed.
+func (g *Group) findPartners(now time.Time, endpoints []string) {
+	members := []string{g.cfg.Address}
+	for address, p := range g.peers {
+		if p.region == g.cfg.Region && p.alive(now, forgotten) {
+			members = append(members, address)
+		}
+	}
+	slices.Sort(members)
+	if !g.homes.update(members, endpoints) {
+		return
+	}
+	partners := g.homes.partners(g.cfg.Address, endpoints)
+	for address, p := range g.peers {
+		p.partner = partners[address]
+	}
+}
+
 func (g *Group) recentlyLeft() map[string]int64 {
 	out := make(map[string]int64, len(g.leaving))
 	for id, l := range g.leaving {
@@ -222,18 +301,15 @@
 	return out
 }
 
-// live returns the peers heard lately, the newest first.
-func (g *Group) live(now time.Time) []string {
-	var out []string
-	for address, p := range g.peers {
-		if now.Sub(p.heard) < lostAfter {
-			out = append(out, address)
+// someMembers returns a few of the processes that lived lately.
+func (g *Group) someMembers(now time.Time) []member {
+	var out []member
+	for address, p := range g.peers { // in the map's random order
+		if p.alive(now, forgotten/2) && len(out) < gossipMembers {
+			out = append(out, member{address, p.region, now.Sub(p.known).Milliseconds()})
 		}
 	}
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(g.peers[b].heard.Compare(g.peers[a].heard), cmp.Compare(a, b))
-	})
-	return out[:min(len(out), maxMembers)]
+	return out
 }
 
 // Receive takes a peer's message.
@@ -242,10 +318,7 @@
 	if err := msgpack.Unmarshal(raw, &m); err != nil {
 		return fmt.Errorf("message of a peer: %w", err)
 	}
-	if m.Address == "" || m.Address == g.cfg.Address {
-		return nil
-	}
-	if !g.note(now, m) {
+	if m.Address == "" || m.Address == g.cfg.Address || !g.note(now, m) {
 		return nil
 	}
 	loads := make(map[string]book.Load, len(m.Loads))
@@ -255,6 +328,7 @@
 	g.cfg.Book.SetPeerLoad(now, m.Address, loads)
 	for id, born := range m.Leaving {
 		if c := g.cfg.Book.Leave(id, born); c.What != book.WhatNone {
+			g.Left(now, id, born)
 			g.cfg.Log.Info("endpoint_"+c.What.String(), zap.String("endpoint", id), zap.String("told_by", m.Address))
 		}
 	}
@@ -266,11 +340,7 @@
 func (g *Group) note(now time.Time, m message) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.peers[m.Address]
-	if p == nil {
-		p = &peer{}
-		g.peers[m.Address] = p
-	}
+	p := g.learn(m.Address, m.Region, now)
 	if m.Incarnation == p.incarnation && m.Sequence <= p.sequence {
 		return false
 	}
@@ -280,10 +350,23 @@
 	}
 	p.heard, p.lost = now, false
 	p.incarnation, p.sequence, p.follows = m.Incarnation, m.Sequence, m.Follows
-	for _, address := range m.Members {
-		if address != g.cfg.Address && g.peers[address] == nil {
-			g.peers[address] = &peer{heard: now.Add(-lostAfter)} // asked, not yet heard
+	for _, other := range m.Members {
+		if other.Address != g.cfg.Address {
+			g.learn(other.Address, other.Region, now.Add(-time.Duration(max(0, other.AgeMs))*time.Millisecond))
 		}
 	}
 	return true
 }
+
+// learn records a sign of life of a process.
+func (g *Group) learn(address, region string, at time.Time) *peer {
+	p := g.peers[address]
+	if p == nil {
+		p = &peer{}
+		g.peers[address] = p
+	}
+	if p.known.Before(at) {
+		p.known, p.region = at, region
+	}
+	return p
+}
--- a/internal/router/share/share_test.go
+++ b/internal/router/share/share_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	groups map[string]*Group
 	books  map[string]*book.Book
 	cut    map[string]bool // addresses that hear nothing
+	bytes  int             // delivered
 }
 
 func newFleet(addresses ...string) *fleet {
@@ -32,7 +34,7 @@
 	b.Put(time.Now(), endpt.Endpoint{ID: "e", Born: 1, Service: "s", Address: "e:1", DataCentre: "a1", Region: "a", Slots: 4})
 	f.books[address] = b
 	f.groups[address] = New(Config{
-		Address: address, Incarnation: incarnation, Seeds: seeds, Book: b, Log: zap.NewNop(), Follows: func() bool { return address == "a" },
+		Address: address, Region: "a", Incarnation: incarnation, Seeds: seeds, Book: b, Log: zap.NewNop(), Follows: func() bool { return address == "a" },
 	})
 }
 
@@ -48,6 +50,7 @@
 			if f.cut[address] || f.cut[from] || f.groups[address] == nil {
 				continue
 			}
+			f.bytes += len(raw)
 			if err := f.groups[address].Receive(time.Now(), raw); err != nil {
 				t.Fatal(err)
 			}
@@ -176,8 +179,43 @@
 		f.rounds(t, 10*time.Second)
 		f.cut["c"] = false
 		f.rounds(t, 3*time.Second)
-		if live := f.groups["a"].live(time.Now()); !slices.Contains(live, "c") {
-			t.Fatalf("live peers after the cut healed: %v, want c among them", live)
+		if !f.groups["a"].peers["c"].near(time.Now()) {
+			t.Fatal("a peer is not heard after the cut healed")
+		}
+	})
+}
+
+// At a size at which nobody can follow everybody, each endpoint still has its
+// homes, which agree, and messages stay within the budget for control.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const processes, endpoints, seconds = 60, 240, 10
+		var addresses []string
+		for i := range processes {
+			addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250))
+		}
+		f := newFleet(addresses...)
+		for _, b := range f.books {
+			for i := range endpoints {
+				b.Put(time.Now(), endpt.Endpoint{ID: fmt.Sprintf("e-%d", i), Born: 1, Service: "s", DataCentre: "a1", Region: "a", Slots: 4})
+			}
+		}
+		f.rounds(t, 10*time.Second)
+		f.bytes = 0
+		f.rounds(t, seconds*time.Second)
+		if perProcess := 2 * f.bytes / processes / seconds; perProcess > 8<<10 {
+			t.Errorf("a process sends and receives %d bytes a second, want 8 KB at most", perProcess)
+		}
+		for i := range endpoints {
+			homes := 0
+			for _, g := range f.groups {
+				if g.Home(fmt.Sprintf("e-%d", i)) {
+					homes++
+				}
+			}
+			if homes != homesEach {
+				t.Fatalf("endpoint %d has %d homes, want %d", i, homes, homesEach)
+			}
 		}
 	})
 }
