--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mimosalock/mimosalock/internal/call/desc"
 	"github.com/mimosalock/mimosalock/internal/conf/table"
 	"github.com/mimosalock/mimosalock/internal/router/book"
@@ -45,7 +47,9 @@
 			return lease, ReasonNone
 		}
 	}
-	if s.Book.Usable(now, n) == 0 {
+	usable := s.Book.Usable(now, n)
+	if usable == 0 {
+		s.logNoPlace(in.Call, ReasonNoEndpoint, usable)
 		return nil, ReasonNoEndpoint
 	}
 	lease := s.Book.Wait(ctx, now, n, waitPlace(in.Call))
@@ -55,9 +59,18 @@
 	case ended(ctx) != ReasonNone:
 		return nil, ended(ctx)
 	}
+	s.logNoPlace(in.Call, ReasonBusy, usable)
 	return nil, ReasonBusy
 }
 
+// logNoPlace records what a call that found no place was decided on.
+func (s *Server) logNoPlace(call *desc.Call, reason Reason, usable int) {
+	s.Log.Info("no_place", zap.String("id", call.ID), zap.String("service", call.Service), zap.Stringer("why", reason),
+		zap.Int("usable_endpoints", usable), zap.Int("waiting", s.Book.Waiting(call.Service)), zap.Strings("regions", call.Regions),
+		zap.Strings("out_of_service", s.Book.Evacuated()), zap.Int("tokens", call.Tokens()),
+		zap.Duration("age", time.Since(call.Arrived)), zap.Uint64("version", call.Version))
+}
+
 // waitPlace orders a waiting call and bounds its wait.
 func waitPlace(call *desc.Call) book.Place {
 	limit := time.Duration(wholePatience * float64(call.FirstAnswer))
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -82,7 +82,7 @@
 	RetryAfter time.Duration // for calls that did not run, 0 for none
 	FirstEvent time.Duration // of a stream, since the call arrived
 	LongestGap time.Duration // between two events of a stream
-	Endpoints  int           // that the call was sent to
+	Endpoints  []string      // that the call was sent to, in order
 }
 
 // Reason tells why a call was not answered by an endpoint.
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -77,7 +77,7 @@
 	for {
 		result, done := r.step(ctx)
 		if done {
-			result.FirstEvent, result.LongestGap, result.Endpoints = r.firstEvent, r.longestGap, len(r.tried)
+			result.FirstEvent, result.LongestGap, result.Endpoints = r.firstEvent, r.longestGap, r.tried
 			return result
 		}
 	}
--- a/internal/router/serve/whole.go
+++ b/internal/router/serve/whole.go
@@ -59,10 +59,11 @@
 
 // whole serves a call that is answered in one piece. Idempotent calls are
 // repeated after failures and sent twice when the first answer is slow.
-func (s *Server) whole(ctx context.Context, in Input) Result {
+func (s *Server) whole(ctx context.Context, in Input) (result Result) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := &wholeCall{s: s, in: in, state: claim.New(in.Call.Kind.Repeatable()), results: make(chan attempt, maxAttempts(in.Call))}
+	defer func() { result.Endpoints = w.tried }()
 	if reason := w.send(ctx); reason != ReasonNone {
 		return w.refuse(reason)
 	}
