All entries of a small region share all endpoints; fields that nothing used removed

Up to twelve entries of a region share all. Removed: prompt parts, health path, connection limit, cold time, header and idle times, which were decoded and read by nothing.

--- a/internal/call/desc/desc.go
+++ b/internal/call/desc/desc.go
@@ -37,12 +37,6 @@
 	return "unknown"
 }
 
-// Part is a piece of a prompt that other calls may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Call is one attempt of a caller.
 type Call struct {
 	ID        string
@@ -63,7 +57,6 @@
 	PromptTokens int
 	OutputTokens int // most tokens that may be generated
 	LengthHint   int // the caller's estimate of the output, 0 for none
-	Parts        []Part
 
 	Regions     []string // where it may be served, empty for everywhere
 	LastEventID string   // the caller resumes after this event
--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -44,8 +44,6 @@
 // Service is a group of alike endpoints.
 type Service struct {
 	Name          string
-	HealthPath    string
-	MaxConns      int
 	ColdPerSecond float64 // calls that one cold endpoint bears, 0 for no limit
 	Engine        *Engine // nil for a plain service
 }
@@ -65,8 +63,6 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
 }
 
 // Table is one version of the configuration.
--- a/internal/fleet/endpt/endpt.go
+++ b/internal/fleet/endpt/endpt.go
@@ -1,8 +1,6 @@
 // Package endpt holds what the registry says of one endpoint. It is plain data.
 package endpt
 
-import "time"
-
 // Endpoint is one incarnation of a worker.
 type Endpoint struct {
 	ID         string
@@ -13,7 +11,6 @@
 	Region     string
 	Slots      int // requests that it works on at once
 	Draining   bool
-	ColdUntil  time.Time // slow and easily overloaded until then, zero if warm
 }
 
 // Same reports whether both name the same incarnation: an endpoint may start
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -118,11 +118,14 @@
 // handover takes a running generation to another engine while its own still
 // runs it.
 func (r *streamRun) handover(ctx context.Context, why string) {
-	src := r.source
-	r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID),
-		zap.String("why", why), zap.String("after", r.lastID))
+	src, first := r.source, !r.announced
+	r.announced = true
+	if first {
+		r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID),
+			zap.String("why", why), zap.String("after", r.lastID))
+	}
 	r.pending = true
-	go func() { r.next <- r.move(ctx, src) }()
+	go func() { r.next <- r.move(ctx, src, first) }()
 }
 
 const (
@@ -159,7 +162,7 @@
 
 // move copies the memory while the run goes on, then stops the run and copies
 // the rest. The stream goes on at the target once the source's events are read.
-func (r *streamRun) move(ctx context.Context, src *source) opened {
+func (r *streamRun) move(ctx context.Context, src *source, first bool) opened {
 	if !r.in.Service.Engine.Moves {
 		return opened{refused: ReasonNoEndpoint}
 	}
@@ -173,6 +176,10 @@
 	defer leave()
 	target := r.reserve(src.lease)
 	if target == nil {
+		if first {
+			r.s.Log.Info("no_target", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
+				zap.String("region", src.lease.Endpoint.Region), zap.Int("tokens", r.in.Call.Tokens()))
+		}
 		return opened{refused: ReasonNoEndpoint}
 	}
 	began := time.Now()
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -25,29 +25,30 @@
 // streamRun is the state of one stream. Its loop owns all fields; sends and
 // moves run beside it and report on a channel.
 type streamRun struct {
-	s       *Server
-	in      Input
-	state   claim.Call
-	tried   []string
-	sends   int
-	source  *source     // the present one, nil before the first and after a loss
-	next    chan opened // reports of the step under way
-	pending bool        // a step is under way
-	moved   *Memory     // the present source was stopped and its memory lies here
-	target  *book.Lease // the engine that the memory was moved to
-	moving  atomic.Bool // the present source is being stopped by a final move
-	ended   bool        // the last source's body was complete, but a move was under way
-	begun   bool
-	lastID  string
-	last    int64    // lastID as a number, -1 if it is none
-	avoid   []string // engines that took no copy of the memory
-	stall   *time.Timer
-	rest    *time.Timer // fires when the source may be left
-	resting bool
-	waited  bool     // for the moves of other processes from the present source
-	failure *attempt // an endpoint's own failure
-	reason  Reason
-	newest  time.Time // arrival of the newest event
+	s         *Server
+	in        Input
+	state     claim.Call
+	tried     []string
+	sends     int
+	source    *source     // the present one, nil before the first and after a loss
+	next      chan opened // reports of the step under way
+	pending   bool        // a step is under way
+	moved     *Memory     // the present source was stopped and its memory lies here
+	target    *book.Lease // the engine that the memory was moved to
+	moving    atomic.Bool // the present source is being stopped by a final move
+	ended     bool        // the last source's body was complete, but a move was under way
+	begun     bool
+	lastID    string
+	last      int64    // lastID as a number, -1 if it is none
+	avoid     []string // engines that took no copy of the memory
+	stall     *time.Timer
+	rest      *time.Timer // fires when the source may be left
+	resting   bool
+	waited    bool     // for the moves of other processes from the present source
+	announced bool     // the present handover is in the log
+	failure   *attempt // an endpoint's own failure
+	reason    Reason
+	newest    time.Time // arrival of the newest event
 
 	firstEvent time.Duration // since the call arrived
 	longestGap time.Duration
@@ -303,7 +304,7 @@
 	}
 	r.source, r.moved, r.avoid = src, nil, nil
 	r.moving.Store(false)
-	r.waited = false
+	r.waited, r.announced = false, false
 	r.pauseLeaving(settle)
 	r.arm()
 }
--- a/internal/router/share/homes.go
+++ b/internal/router/share/homes.go
@@ -11,6 +11,9 @@
 // target's size a process has about 16 endpoints.
 const homesEach = 4
 
+// smallRegion is the number of processes up to which all share all endpoints.
+const smallRegion = 12
+
 // homes assigns the endpoints of a region to processes by rendezvous hashing. It
 // is computed again only when either of them change.
 type homes struct {
@@ -32,7 +35,7 @@
 
 // of returns an endpoint's processes. In a small fleet they are all.
 func (h *homes) of(id string) []string {
-	if len(h.members) <= homesEach {
+	if len(h.members) <= smallRegion {
 		return h.members
 	}
 	if list, ok := h.byID[id]; ok {
@@ -50,7 +53,7 @@
 // partners returns the processes that share an endpoint with one.
 func (h *homes) partners(address string, endpoints []string) map[string]bool {
 	out := map[string]bool{}
-	if len(h.members) <= homesEach {
+	if len(h.members) <= smallRegion {
 		for _, other := range h.members {
 			out[other] = true
 		}
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -37,7 +37,7 @@
 	// newsSpacing times the square of the partners' number is the shortest time
 	// between two messages to one, so that a process sends no more the more
 	// partners it has.
-	newsSpacing = 3 * time.Millisecond
+	newsSpacing = 2 * time.Millisecond
 )
 
 // message is what one process tells another.
