--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -34,10 +34,11 @@
 	// tell each other: at the target's size about 1 KB a second.
 	gossipTo      = 4
 	gossipMembers = 8
-	// newsSpacing times the square of the partners' number is the shortest time
-	// between two messages to one, so that a process sends no more the more
-	// partners it has.
-	newsSpacing = 2 * time.Millisecond
+	// smallSpacing is the shortest time between two messages to one of a few
+	// partners, and newsSpacing times the square of their number to one of many, so
+	// that a process sends no more the more partners it has.
+	smallSpacing = 100 * time.Millisecond
+	newsSpacing  = 3 * time.Millisecond
 )
 
 // message is what one process tells another.
@@ -253,6 +254,9 @@
 			partners++
 		}
 	}
+	if partners <= smallRegion {
+		return smallSpacing
+	}
 	return time.Duration(partners*partners) * newsSpacing
 }
 
