--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Index of chores.
-.PHONY: demo test check proto fmt lint ci bench
+.PHONY: gateway demo test check proto fmt lint ci bench
 
 demo: ## run the whole path on loopback
 	go run ./cmd/mimosalock demo --calls 40 --seed 1
@@ -7,6 +7,9 @@
 test: ## all tests
 	go test ./...
 
+gateway: ## build the entry for the users' platform
+	go build -ldflags=-linkmode=external -o target/ ./cmd/gateway
+
 check: ## validate the example service files
 	go run ./cmd/mimosalock check examples/corrib examples/fernhollow
 
