An entry that the store does not answer takes over what a peer knows

Cause: with the store away for some entries only, or after a restart beside it, an entry had an old version and no new endpoints, or answered 503 to all, while its peers knew. Entries answer lists to each other as the store does; only a newer revision is taken over.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -29,6 +29,8 @@
 	// Watch returns the changes after a revision, as soon as there are any, and the
 	// revision to go on from. It may return none after a while.
 	Watch(ctx context.Context, after uint64) ([]Event, uint64, error)
+	// ListOf returns what a peer knows of the registry.
+	ListOf(ctx context.Context, peer string) (Snapshot, error)
 	// Leaving asks an endpoint itself whether it is about to leave.
 	Leaving(ctx context.Context, e endpt.Endpoint) (bool, error)
 }
@@ -94,9 +96,9 @@
 	Tables *live.Holder
 	Log    *zap.Logger
 	Seen   func(book.Change) // told of each change of an endpoint, may be nil
-	// Informed reports whether a peer passes on what the registry says, so that
-	// endpoints need not be asked. nil means no.
-	Informed func(now time.Time) bool
+	// Followers returns the peers whose registry answers. While there are any, they
+	// pass on what leaves, so that endpoints need not be asked. nil means none.
+	Followers func(now time.Time) []string
 	// Leads reports whether this process is one of those that follow the registry
 	// closely. nil means yes.
 	Leads func(now time.Time) bool
@@ -105,7 +107,7 @@
 // Follower follows one registry.
 type Follower struct {
 	Deps
-	at      uint64
+	at      atomic.Uint64 // revision that is known
 	listed  bool
 	known   atomic.Bool               // listed at least once
 	failing atomic.Pointer[time.Time] // since then, nil if the registry answers
@@ -128,6 +130,7 @@
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = f.backoff()
+			f.askPeer(ctx)
 		}
 		f.Expire(time.Now())
 		sleep(ctx, pause)
@@ -145,9 +148,9 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	events, at, err := f.Source.Watch(ctx, f.at)
+	events, at, err := f.Source.Watch(ctx, f.at.Load())
 	if errors.Is(err, ErrHistoryGone) {
-		f.Log.Info("registry_history_gone", zap.Uint64("revision", f.at))
+		f.Log.Info("registry_history_gone", zap.Uint64("revision", f.at.Load()))
 		f.listed = false
 		return f.list(ctx)
 	}
@@ -155,7 +158,7 @@
 		return err
 	}
 	f.answered(time.Now())
-	f.at = at
+	f.at.Store(at)
 	for _, e := range events {
 		f.apply(e)
 	}
@@ -167,9 +170,42 @@
 	if err != nil {
 		return err
 	}
+	f.answered(time.Now())
+	f.listed = true
+	f.adopt(s)
+	return nil
+}
+
+// askPeer takes over what a peer knows while the registry does not answer this
+// process. A peer that knows no more than this one changes nothing.
+func (f *Follower) askPeer(ctx context.Context) {
+	peers := f.followers()
+	if len(peers) == 0 {
+		return
+	}
+	s, err := f.Source.ListOf(ctx, peers[0])
+	if err != nil {
+		f.Log.Info("peer_listing_failed", zap.String("peer", peers[0]), zap.Error(err))
+		return
+	}
+	if s.At <= f.at.Load() && f.known.Load() {
+		return
+	}
+	f.Log.Info("peer_listing_taken", zap.String("peer", peers[0]), zap.Uint64("revision", s.At), zap.Uint64("before", f.at.Load()))
+	f.adopt(s)
+}
+
+func (f *Follower) followers() []string {
+	if f.Followers == nil {
+		return nil
+	}
+	return f.Followers(time.Now())
+}
+
+// adopt takes a whole listing over.
+func (f *Follower) adopt(s Snapshot) {
 	now := time.Now()
-	f.answered(now)
-	f.listed, f.at = true, s.At
+	f.at.Store(s.At)
 	f.known.Store(true)
 	if s.Table != nil {
 		f.applyTable(s.Table)
@@ -183,7 +219,6 @@
 	for _, c := range f.Book.Replace(now, s.Endpoints, f.grace) {
 		f.changed(c)
 	}
-	return nil
 }
 
 // evacuate takes a data centre out, or back in unless it is among those kept out.
@@ -194,7 +229,7 @@
 		}
 	}
 	if f.Book.Evacuate(now, centre, out) {
-		f.Log.Info("data_centre_changed", zap.String("data_centre", centre), zap.Bool("out_of_service", out), zap.Uint64("revision", f.at))
+		f.Log.Info("data_centre_changed", zap.String("data_centre", centre), zap.Bool("out_of_service", out), zap.Uint64("revision", f.at.Load()))
 	}
 }
 
@@ -214,7 +249,7 @@
 
 func (f *Follower) applyTable(t *table.Table) {
 	if f.Tables.Apply(t) {
-		f.Log.Info("config_applied", zap.Uint64("version", t.Version()), zap.Uint64("revision", f.at))
+		f.Log.Info("config_applied", zap.Uint64("version", t.Version()), zap.Uint64("revision", f.at.Load()))
 	}
 }
 
@@ -230,7 +265,7 @@
 		return
 	}
 	f.Log.Info("endpoint_"+c.What.String(), zap.String("endpoint", c.Endpoint.ID), zap.String("address", c.Endpoint.Address),
-		zap.String("service", c.Endpoint.Service), zap.String("data_centre", c.Endpoint.DataCentre), zap.Uint64("revision", f.at))
+		zap.String("service", c.Endpoint.Service), zap.String("data_centre", c.Endpoint.DataCentre), zap.Uint64("revision", f.at.Load()))
 	if f.Seen != nil {
 		f.Seen(c)
 	}
@@ -241,7 +276,7 @@
 	if f.failing.Load() == nil {
 		now := time.Now()
 		f.failing.Store(&now)
-		f.Log.Warn("registry_lost", zap.Error(err), zap.Uint64("revision", f.at))
+		f.Log.Warn("registry_lost", zap.Error(err), zap.Uint64("revision", f.at.Load()))
 	}
 }
 
@@ -263,7 +298,7 @@
 func (f *Follower) askEndpoints(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, askPace)
-		if f.Answers() || f.Informed != nil && f.Informed(time.Now()) {
+		if f.Answers() || len(f.followers()) > 0 {
 			continue
 		}
 		for _, e := range f.Book.Busy() {
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -22,6 +22,7 @@
 type registry struct {
 	mu      sync.Mutex
 	listed  Snapshot
+	peer    Snapshot // what a peer knows
 	away    bool
 	gone    bool // the history is gone
 	events  chan []Event
@@ -68,6 +69,12 @@
 	}
 }
 
+func (r *registry) ListOf(context.Context, string) (Snapshot, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peer, nil
+}
+
 func (r *registry) Leaving(context.Context, endpt.Endpoint) (leaving bool, err error) {
 	r.set(func(r *registry) { leaving = r.leaving })
 	return leaving, nil
@@ -190,11 +197,41 @@
 	})
 }
 
+// A process that the registry does not answer takes over what a peer knows, and
+// never anything older than what it knows itself.
+func TestPeerListing(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		at      uint64
+		version uint64
+	}{{"newer", 20, 9}, {"older", 0, 3}} {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.Followers = func(time.Time) []string { return []string{"peer"} }
+				b.set(func(r *registry) {
+					r.away = true
+					r.peer = Snapshot{Table: table.New(table.Parts{Version: 9}), At: test.at}
+				})
+				time.Sleep(3 * time.Second)
+				if v := b.tables.Current().Version(); v != test.version {
+					t.Fatalf("version %d is in force, want %d", v, test.version)
+				}
+				b.expect(t, "after the peer's listing", test.version == 3)
+			})
+		})
+	}
+}
+
 // While the registry is away, engines are asked themselves whether they leave.
 func TestEnginesAreAsked(t *testing.T) {
 	for _, informed := range []bool{false, true} {
 		run(t, func(b *bench) {
-			b.Informed = func(time.Time) bool { return informed }
+			b.Followers = func(time.Time) []string {
+				if informed {
+					return []string{"peer"}
+				}
+				return nil
+			}
 			if _, ok := b.book.Take(time.Now(), book.Need{Service: "s", Tokens: 1, Memory: 10}); !ok {
 				t.Fatal("no room on an idle engine")
 			}
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -147,17 +147,19 @@
 // near reports whether the process itself was heard lately.
 func (p *peer) near(now time.Time) bool { return !p.heard.IsZero() && now.Sub(p.heard) < lostAfter }
 
-// Informed reports whether a live peer's registry answers, so that what it says
-// of leaving endpoints reaches this process as well.
-func (g *Group) Informed(now time.Time) bool {
+// Followers returns the live peers whose registry answers, in random order. What
+// they say of leaving endpoints reaches this process as well, and they can be
+// asked for a listing.
+func (g *Group) Followers(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, p := range g.peers {
+	var out []string
+	for address, p := range g.peers {
 		if p.follows && p.near(now) {
-			return true
+			out = append(out, address)
 		}
 	}
-	return false
+	return out
 }
 
 // Leads reports whether this process is one of the few that follow the registry
--- a/internal/router/share/share_test.go
+++ b/internal/router/share/share_test.go
@@ -108,7 +108,7 @@
 	})
 }
 
-func TestInformed(t *testing.T) {
+func TestFollowers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		f.rounds(t, 2*time.Second)
@@ -122,7 +122,7 @@
 
 func expectInformed(t *testing.T, f *fleet, address string, want bool) {
 	t.Helper()
-	if got := f.groups[address].Informed(time.Now()); got != want {
+	if got := len(f.groups[address].Followers(time.Now())) > 0; got != want {
 		t.Fatalf("%s is informed %v, want %v", address, got, want)
 	}
 }
