--- /dev/null
+++ b/internal/fleet/dgram/dgram_test.go
@@ -0,0 +1,66 @@
+package dgram
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+	"github.com/mimosalock/mimosalock/internal/router/book"
+	"github.com/mimosalock/mimosalock/internal/router/share"
+)
+
+// start runs one process that knows one endpoint.
+func start(t *testing.T, address string, incarnation uint64, seeds ...string) (*share.Group, *book.Book) {
+	t.Helper()
+	b := book.New(book.Config{DataCentre: "a1", Region: "a", Name: address, Entries: func() int { return 1 }})
+	b.Put(time.Now(), endpt.Endpoint{ID: "e", Born: 1, Service: "s", DataCentre: "a1", Region: "a", Slots: 4})
+	g := share.New(share.Config{
+		Address: address, Region: "a", Incarnation: incarnation, Seeds: seeds, Book: b, Log: zap.NewNop(), Follows: func() bool { return true },
+	})
+	c, err := New(address, g, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return g, b
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+func TestNewsCrossTheWire(t *testing.T) {
+	first, second := freeAddress(t), freeAddress(t)
+	g, _ := start(t, first, 1)
+	_, b := start(t, second, 2, first)
+	left := false
+	for range 500 {
+		if len(g.Followers(time.Now())) > 0 && !left {
+			g.Left(time.Now(), "e", 1)
+			left = true
+		}
+		if b.Usable(time.Now(), book.Need{Service: "s"}) == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("the second process never heard of the endpoint that leaves (told: %v)", left)
+}
+
+func TestBadAddress(t *testing.T) {
+	if _, err := New("nowhere", nil, zap.NewNop()); err == nil {
+		t.Fatal("an address without a port was taken")
+	}
+}
