--- a/internal/agent/origin/origin.go
+++ b/internal/agent/origin/origin.go
@@ -1,6 +1,6 @@
 // Package origin sends one request to an endpoint over a connection of its own.
-// It never sends twice, and its errors tell whether the endpoint may have seen
-// the request.
+// It never sends twice, and its errors are of pipe.Error, which tells whether the
+// endpoint may have seen the request.
 package origin
 
 import (
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/mimosalock/mimosalock/internal/call/pipe"
 )
 
 const (
@@ -33,14 +35,14 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, newError("dial", KindUnsent, err)
+		return nil, &pipe.Error{Op: "dial", Kind: pipe.KindUnsent, Err: err}
 	}
 	r := &Response{conn: conn, silence: silence}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := r.exchange(req); err != nil {
 		stop()
 		_ = conn.Close()
-		return nil, newError("exchange", KindBroken, err)
+		return nil, &pipe.Error{Op: "exchange", Kind: pipe.KindBroken, Err: err}
 	}
 	return r, nil
 }
