Resumable streams leave an engine that does not begin; tests of serve lock their stand-in

Cause: a check on a mute engine waited 5.7 s until its deadline and ended as unknown, though it may run again. After 1.5 objectives another endpoint is asked. The detector found unlocked fields in the tests' upstream, not in the product.

--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -16,6 +16,10 @@
 	outcomeGood   = book.OutcomeGood
 	outcomeFailed = book.OutcomeFailed
 
+	// firstShare times the objective is the time within which a stream's answer must
+	// begin before another endpoint is asked: slow engines are not given up.
+	firstShare = 1.5
+
 	// maxHandovers bounds how often one stream changes its endpoint.
 	maxHandovers = 12
 )
@@ -26,6 +30,7 @@
 	r.sends++
 	tried := append([]string(nil), r.tried...)
 	after := r.lastID
+	patience := r.firstPatience()
 	placed := make(chan string, 1)
 	go func() {
 		lease, reason := r.s.place(ctx, r.in, tried)
@@ -35,7 +40,7 @@
 			return
 		}
 		placed <- lease.Endpoint.ID
-		src, a := r.s.open(ctx, lease, r.shipment(after, nil))
+		src, a := r.s.open(ctx, lease, r.shipment(after, nil), patience)
 		r.next <- opened{source: src, attempt: a}
 	}()
 	if id, ok := <-placed; ok {
@@ -45,6 +50,15 @@
 	r.sends--
 }
 
+// firstPatience is how long an endpoint may take to begin, 0 for no limit. Only
+// a stream that may run again is taken elsewhere, while it has attempts left.
+func (r *streamRun) firstPatience() time.Duration {
+	if r.in.Call.Kind != desc.KindResumableStream || r.sends >= max(1, r.in.Call.Attempts) {
+		return 0
+	}
+	return time.Duration(firstShare * float64(r.in.Call.FirstAnswer))
+}
+
 func (r *streamRun) shipment(after string, memory *Memory) Shipment {
 	return Shipment{
 		Call: r.in.Call, Body: r.in.Body, Origin: r.in.Origin,
@@ -97,7 +111,7 @@
 			r.next <- opened{refused: ReasonBusy}
 			return
 		}
-		src, a := r.s.open(ctx, at, r.shipment(after, &memory))
+		src, a := r.s.open(ctx, at, r.shipment(after, &memory), 0)
 		r.next <- opened{source: src, attempt: a}
 	}()
 }
--- a/internal/router/serve/serve_test.go
+++ b/internal/router/serve/serve_test.go
@@ -78,6 +78,8 @@
 	if st.err != nil {
 		return nil, st.err
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if !st.neverRan && !st.gone {
 		u.runs++
 	}
@@ -99,12 +101,29 @@
 		return "", fmt.Errorf("move: %w", ErrNotRunning)
 	}
 	if final {
-		u.stop()
+		u.mu.Lock()
+		stop := u.stop
+		u.mu.Unlock()
+		stop()
 		time.Sleep(reportLag)
 	}
 	return "handle", nil
 }
 
+// then sets how further sends are answered.
+func (u *upstream) then(steps ...step) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.steps = steps
+}
+
+// sends returns what was sent, and how many calls ran.
+func (u *upstream) sends() (sent []string, runs int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.sent), u.runs
+}
+
 func sleepFor(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
@@ -235,9 +254,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(test.steps...)
 				result := b.serve(t.Context(), test.kind, test.attempts)
-				if result.Outcome != test.outcome || b.status != test.status || len(b.sent) != test.sends {
+				sent, _ := b.sends()
+				if result.Outcome != test.outcome || b.status != test.status || len(sent) != test.sends {
 					t.Fatalf("outcome %v status %d after %d sends (%v), want %v %d %d",
-						result.Outcome, b.status, len(b.sent), result.Reason, test.outcome, test.status, test.sends)
+						result.Outcome, b.status, len(sent), result.Reason, test.outcome, test.status, test.sends)
 				}
 				expectAtMostOnce(t, b, test.kind, result)
 			})
@@ -249,10 +269,11 @@
 // that one which did not run is said so truly.
 func expectAtMostOnce(t *testing.T, b *bench, kind desc.Kind, result Result) {
 	t.Helper()
-	if !kind.Repeatable() && b.runs > 1 {
-		t.Fatalf("the call ran %d times", b.runs)
+	_, runs := b.sends()
+	if !kind.Repeatable() && runs > 1 {
+		t.Fatalf("the call ran %d times", runs)
 	}
-	if !kind.Repeatable() && result.Outcome == claim.OutcomeNotRun && b.runs > 0 {
+	if !kind.Repeatable() && result.Outcome == claim.OutcomeNotRun && runs > 0 {
 		t.Fatal("a call that ran is said not to have run")
 	}
 }
@@ -276,10 +297,11 @@
 		b := newBench()
 		const calls = 200
 		for range calls {
-			b.steps = []step{failed, good}
+			b.then(failed, good)
 			b.serve(t.Context(), desc.KindIdempotent, 2)
 		}
-		if repeats := len(b.sent) - calls; repeats > 20+calls/5 {
+		sent, _ := b.sends()
+		if repeats := len(sent) - calls; repeats > 20+calls/5 {
 			t.Fatalf("%d repeats of %d calls, want at most %d", repeats, calls, 20+calls/5)
 		}
 	})
@@ -308,6 +330,8 @@
 		{"failure before the first event", desc.KindStream, []step{failed}, claim.OutcomeComplete, 0, []string{"e1"}},
 		{"shed", desc.KindStream, []step{shed}, claim.OutcomeNotRun, 0, []string{"e1"}},
 		{"engine was replaced", desc.KindStream, []step{{status: 421, gone: true}, stream(0, 40)}, claim.OutcomeComplete, 40, []string{"e1", "e2"}},
+		{"mute engine, may run again", desc.KindResumableStream, []step{{status: 200, wait: time.Hour}, stream(0, 40)}, claim.OutcomeComplete, 40, []string{"e1", "e2"}},
+		{"mute engine, must not run again", desc.KindStream, []step{{status: 200, wait: time.Hour}, stream(0, 40)}, claim.OutcomeUnknown, 0, []string{"e1"}},
 		{"lost before the answer", desc.KindStream, []step{{err: brokenErr}, stream(0, 40)}, claim.OutcomeUnknown, 0, []string{"e1"}},
 		{"silent, may be resumed", desc.KindResumableStream, []step{{status: 200, events: 5, gap: 3 * time.Second}, stream(0, 40)}, claim.OutcomeComplete, 40, []string{"e1", "e2"}},
 	} {
@@ -316,8 +340,8 @@
 				b := newBench(test.steps...)
 				result := b.serve(t.Context(), test.kind, 2-len(test.sent)%2)
 				expectStream(t, b, result, test.outcome, test.events)
-				if !sameEndpoints(b.sent, test.sent) {
-					t.Fatalf("sent to %q, want %q", b.sent, test.sent)
+				if sent, _ := b.sends(); !sameEndpoints(sent, test.sent) {
+					t.Fatalf("sent to %q, want %q", sent, test.sent)
 				}
 				expectNothingHeld(t, b)
 			})
@@ -388,11 +412,11 @@
 					b.leave()
 					// What the second engine makes follows the events before the stop, at
 					// 510 ms plus two moves.
-					b.steps = append(b.steps, stream(14, 26))
+					b.then(stream(14, 26))
 				}()
 				expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), test.outcome, test.events)
-				if len(b.sent) != test.sends {
-					t.Fatalf("sent to %q, want %d sends", b.sent, test.sends)
+				if sent, _ := b.sends(); len(sent) != test.sends {
+					t.Fatalf("sent to %q, want %d sends", sent, test.sends)
 				}
 				expectNothingHeld(t, b)
 			})
@@ -416,9 +440,8 @@
 
 // leave takes the endpoint of the first send away.
 func (b *bench) leave() {
-	b.mu.Lock()
-	id := strings.Fields(b.sent[0])[0]
-	b.mu.Unlock()
+	sent, _ := b.sends()
+	id := strings.Fields(sent[0])[0]
 	b.book.Remove(time.Now(), id, time.Time{})
 }
 
@@ -446,7 +469,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
 		for range 50 {
-			b.steps = []step{stream(0, 40)} // 2 s
+			b.then(stream(0, 40)) // 2 s
 			b.serve(t.Context(), desc.KindStream, 1)
 		}
 		for _, test := range []struct {
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -27,16 +27,20 @@
 	err error // the last item: io.EOF for a complete end
 }
 
-// open sends the shipment and returns its answer as a source.
-func (s *Server) open(ctx context.Context, lease *book.Lease, ship Shipment) (*source, attempt) {
-	ctx, cancel := context.WithCancel(ctx)
+// open sends the shipment and returns its answer as a source. The endpoint is
+// given up if its answer has not begun within the patience, 0 for no limit.
+func (s *Server) open(caller context.Context, lease *book.Lease, ship Shipment, patience time.Duration) (*source, attempt) {
+	ctx, cancel := context.WithCancel(caller)
+	if patience > 0 {
+		defer time.AfterFunc(patience, cancel).Stop()
+	}
 	a := attempt{lease: lease}
 	a.answer, a.err = s.Upstream.Send(ctx, lease.Endpoint, ship)
 	a.verdict = judge(a.answer, a.err)
 	if a.verdict != verdictGood {
 		s.finishFailed(ctx, &a)
 		cancel()
-		lease.Release(time.Now(), a.lesson(ctx))
+		lease.Release(time.Now(), a.lesson(caller))
 		return nil, a
 	}
 	src := &source{lease: lease, answer: a.answer, cancel: cancel, events: make(chan item, sourceBuffer)}
