Control between entries is bounded at every size; capacity page for the gateway

Cause: a test at 16 and 30 entries of a region showed 13.8 KB a second and process (budget 8): heartbeats to many partners, and members in each message. Heartbeats go by the number of partners, members only with gossip, and news that a partner missed reach it as soon as its spacing allows.

--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -23,12 +23,15 @@
 )
 
 const (
-	heartbeat = 500 * time.Millisecond // at least one message to each partner in this time
-	lostAfter = 2 * time.Second        // a process that was heard itself is lost after this silence
-	forgotten = time.Minute            // a silent process is no longer counted as one
-	seedEvery = time.Second            // seeds that do not answer are asked again
-	recent    = 5 * time.Second        // how long a leaving endpoint is passed on
-	leaders   = 3                      // processes that follow the registry closely; two may fail together
+	heartbeat = 500 * time.Millisecond // at least one message to each of a few partners in this time
+	// heartbeatEach times the partners' number is the same for many.
+	heartbeatEach = 60 * time.Millisecond
+	lostAfter     = 2 * time.Second // a process that was heard itself is lost after this silence,
+	lostBeats     = 3               // or after so many heartbeats of many partners
+	forgotten     = time.Minute     // a silent process is no longer counted as one
+	seedEvery     = time.Second     // seeds that do not answer are asked again
+	recent        = 5 * time.Second // how long a leaving endpoint is passed on
+	leaders       = 3               // processes that follow the registry closely; two may fail together
 
 	// gossipTo and gossipMembers bound what processes without a common endpoint
 	// tell each other: at the target's size about 1 KB a second.
@@ -69,6 +72,7 @@
 	lost        bool
 	follows     bool // its registry answers
 	partner     bool // shares an endpoint
+	behind      bool // there is news that it was not sent
 }
 
 // Config is what a Group is built from.
@@ -90,6 +94,7 @@
 	seeds    []string
 	leaving  map[string]leaving
 	homes    homes
+	partners int // peers that share an endpoint
 	sequence uint64
 	last     map[string][4]int // loads of the newest message
 	changed  bool              // something to tell besides loads
@@ -145,7 +150,12 @@
 }
 
 // near reports whether the process itself was heard lately.
-func (p *peer) near(now time.Time) bool { return !p.heard.IsZero() && now.Sub(p.heard) < lostAfter }
+func (g *Group) near(p *peer, now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < max(lostAfter, lostBeats*g.beat())
+}
+
+// beat is the time between heartbeats to a partner.
+func (g *Group) beat() time.Duration { return max(heartbeat, time.Duration(g.partners)*heartbeatEach) }
 
 // Followers returns the live peers whose registry answers, in random order. What
 // they say of leaving endpoints reaches this process as well, and they can be
@@ -155,7 +165,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for address, p := range g.peers {
-		if p.follows && p.near(now) {
+		if p.follows && g.near(p, now) {
 			out = append(out, address)
 		}
 	}
@@ -170,7 +180,7 @@
 	defer g.mu.Unlock()
 	before := 0
 	for address, p := range g.peers {
-		if address < g.cfg.Address && p.follows && p.near(now) {
+		if address < g.cfg.Address && p.follows && g.near(p, now) {
 			before++
 		}
 	}
@@ -205,17 +215,17 @@
 	g.expire(now)
 	g.findPartners(now, endpoints)
 	to = g.receivers(now, g.changed || !maps.Equal(loads, g.last))
+	g.last, g.changed = loads, false
 	if len(to) == 0 {
 		return nil, nil, nil
 	}
 	for _, address := range to {
-		g.peers[address].sent = now
+		g.peers[address].sent, g.peers[address].behind = now, false
 	}
-	g.last, g.changed = loads, false
 	g.sequence++
 	raw, err = msgpack.Marshal(message{
 		Address: g.cfg.Address, Region: g.cfg.Region, Incarnation: g.cfg.Incarnation, Sequence: g.sequence,
-		Loads: loads, Leaving: g.recentlyLeft(), Members: g.someMembers(now), Follows: g.cfg.Follows(),
+		Loads: loads, Leaving: g.recentlyLeft(), Follows: g.cfg.Follows(), Members: g.someMembers(now),
 	})
 	return to, raw, err
 }
@@ -228,17 +238,20 @@
 	for address, p := range g.peers {
 		since := now.Sub(p.sent)
 		switch {
-		case p.partner && p.near(now):
-			if news && since >= spacing || since >= max(heartbeat, spacing) {
+		case p.partner && g.near(p, now):
+			p.behind = p.behind || news
+			if p.behind && since >= spacing || since >= max(g.beat(), spacing) {
 				to = append(to, address)
+				continue
 			}
+			others = append(others, address)
 		case p.alive(now, forgotten):
 			others = append(others, address)
 		case slices.Contains(g.seeds, address) && since >= seedEvery:
 			to = append(to, address)
 		}
 	}
-	if now.Sub(g.gossiped) >= heartbeat && len(others) > 0 {
+	if now.Sub(g.gossiped) >= heartbeat {
 		g.gossiped = now
 		slices.Sort(others)
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
@@ -250,22 +263,16 @@
 
 // spacing is the shortest time between two messages to one partner.
 func (g *Group) spacing() time.Duration {
-	partners := 0
-	for _, p := range g.peers {
-		if p.partner {
-			partners++
-		}
-	}
-	if partners <= smallRegion {
+	if g.partners <= smallRegion {
 		return smallSpacing
 	}
-	return time.Duration(partners*partners) * newsSpacing
+	return time.Duration(g.partners*g.partners) * newsSpacing
 }
 
 // expire forgets what is over.
 func (g *Group) expire(now time.Time) {
 	for address, p := range g.peers {
-		if !p.heard.IsZero() && !p.lost && !p.near(now) && p.partner {
+		if !p.heard.IsZero() && !p.lost && !g.near(p, now) && p.partner {
 			p.lost = true
 			g.cfg.Log.Info("peer_lost", zap.String("peer", address), zap.Duration("silent", now.Sub(p.heard)))
 		}
@@ -294,8 +301,12 @@
 		return
 	}
 	partners := g.homes.partners(g.cfg.Address, endpoints)
+	g.partners = 0
 	for address, p := range g.peers {
 		p.partner = partners[address]
+		if p.partner {
+			g.partners++
+		}
 	}
 }
 
@@ -309,6 +320,9 @@
 
 // someMembers returns a few of the processes that lived lately.
 func (g *Group) someMembers(now time.Time) []member {
+	if !g.gossiped.Equal(now) {
+		return nil // news alone
+	}
 	var out []member
 	for address, p := range g.peers { // in the map's random order
 		if p.alive(now, forgotten/2) && len(out) < gossipMembers {
--- a/internal/tool/capac/page.go
+++ b/internal/tool/capac/page.go
@@ -1,6 +1,7 @@
 package capac
 
 import (
+	_ "embed" // for the gateway's part of the page
 	"fmt"
 	"strings"
 
@@ -24,6 +25,12 @@
 	hostChangesPerDay = 2 * (TargetHostFailures + TargetRestarts)
 )
 
+// gateway is the part of the page on direct serving, whose figures come from the
+// users' bench and from tests.
+//
+//go:embed gateway.md
+var gateway string
+
 // role is one role's load at the target.
 type role struct {
 	name                            string
@@ -99,6 +106,8 @@
 	p("Written by `go run ./cmd/loadgen capacity --json capacity.json --page docs/CAPACITY.md` on %s, on a machine with %d cores (%s), in %.0f s. "+
 		"Do not edit: change internal/tool/capac and run it again. Figures are marked **M** measured, **W** worked out from a measured slope, "+
 		"**A** assumed.\n", r.Date, r.Cores, r.Go, r.Seconds)
+	p("%s", gateway)
+	p("# The product's own interface\n")
 	r.roles(p)
 	r.calls(p)
 	r.worst(p)
