--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,8 +69,8 @@
 
 // reserve takes room for the generation on an engine other than the lease's and
 // those that refused it.
-func (r *streamRun) reserve(lease *book.Lease) *book.Lease {
-	n := need(r.in.Call, r.in.Service, append(r.avoid, lease.Endpoint.ID))
+func (r *streamRun) reserve(lease *book.Lease, avoid []string) *book.Lease {
+	n := need(r.in.Call, r.in.Service, append(avoid, lease.Endpoint.ID))
 	n.Purpose, n.From = book.PurposeMove, lease.Endpoint
 	target, ok := r.s.Book.Take(time.Now(), n)
 	if !ok {
@@ -132,14 +133,21 @@
 // handover takes a running generation to another engine while its own still
 // runs it.
 func (r *streamRun) handover(ctx context.Context, why string) {
-	src, first := r.source, !r.announced
-	r.announced = true
-	if first {
-		r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID),
+	d := departure{source: r.source, first: !r.departing, avoid: slices.Clone(r.avoid)}
+	r.departing = true
+	if d.first {
+		r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", d.source.lease.Endpoint.ID),
 			zap.String("why", why), zap.String("after", r.lastID))
 	}
 	r.pending = true
-	go func() { r.next <- r.move(ctx, src, first) }()
+	go func() { r.next <- r.move(ctx, d) }()
+}
+
+// departure is one try to leave an endpoint, with what it needs of the run's state.
+type departure struct {
+	source *source
+	first  bool     // the first try from this endpoint
+	avoid  []string // engines that took no copy of the memory
 }
 
 const (
@@ -155,10 +163,6 @@
 // awaitTurn lets the moves of other processes from the same endpoint go first, in
 // the order of the processes' names, for as long as they should take.
 func (r *streamRun) awaitTurn(ctx context.Context, src *source) bool {
-	if r.waited {
-		return true
-	}
-	r.waited = true
 	ahead := r.s.Book.Ahead(time.Now(), src.lease.Endpoint.ID)
 	turn := time.NewTimer(min(longestTurn, time.Duration(ahead.Tokens)*r.in.Service.Engine.MoveTime))
 	defer turn.Stop()
@@ -176,11 +180,9 @@
 
 // move copies the memory while the run goes on, then stops the run and copies
 // the rest. The stream goes on at the target once the source's events are read.
-func (r *streamRun) move(ctx context.Context, src *source, first bool) opened {
-	if !r.in.Service.Engine.Moves {
-		return opened{refused: ReasonNoEndpoint}
-	}
-	if !r.awaitTurn(ctx, src) {
+func (r *streamRun) move(ctx context.Context, d departure) opened {
+	src := d.source
+	if d.first && !r.awaitTurn(ctx, src) {
 		return opened{refused: ended(ctx)}
 	}
 	leave, ok := r.s.lanes.enter(ctx, src.lease.Endpoint.ID)
@@ -188,9 +190,9 @@
 		return opened{refused: ended(ctx)}
 	}
 	defer leave()
-	target := r.reserve(src.lease)
+	target := r.reserve(src.lease, d.avoid)
 	if target == nil {
-		if first {
+		if d.first {
 			r.s.Log.Info("no_target", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
 				zap.String("region", src.lease.Endpoint.Region), zap.Int("tokens", r.in.Call.Tokens()))
 		}
--- a/internal/router/serve/serve_test.go
+++ b/internal/router/serve/serve_test.go
@@ -39,6 +39,7 @@
 	events   int // events of a stream
 	gap      time.Duration
 	cut      bool // the body breaks off
+	hang     bool // the body falls silent
 }
 
 // reportLag is how long after the end of a stopped stream its move is reported.
@@ -54,6 +55,7 @@
 	moveErr  error
 	moveTime time.Duration
 
+	endHidden  bool // a stopped run's stream falls silent and does not end
 	endsItself bool // the run ends just before a final move reaches it
 }
 
@@ -100,6 +102,9 @@
 		time.Sleep(reportLag)
 		return "", fmt.Errorf("move: %w", ErrNotRunning)
 	}
+	if final && u.endHidden {
+		return "handle", nil
+	}
 	if final {
 		u.mu.Lock()
 		stop := u.stop
@@ -152,6 +157,9 @@
 			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
 		}
+		if st.hang {
+			<-ctx.Done()
+		}
 		if st.cut {
 			_ = w.CloseWithError(io.ErrUnexpectedEOF)
 			return
@@ -424,6 +432,21 @@
 	}
 }
 
+// A stopped source whose connection went silent does not hold its stream up.
+func TestEndOfTheSourceIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(step{status: http.StatusOK, events: 12, gap: 50 * time.Millisecond, hang: true})
+		b.endHidden, b.moveTime = true, 100*time.Millisecond
+		go func() {
+			time.Sleep(510 * time.Millisecond)
+			b.leave()
+			b.then(stream(12, 28))
+		}()
+		expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), claim.OutcomeComplete, 40)
+		expectNothingHeld(t, b)
+	})
+}
+
 // A run that ends by itself while it is being moved is complete.
 func TestEndMeetsTheMove(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -44,8 +44,7 @@
 	stall     *time.Timer
 	rest      *time.Timer // fires when the source may be left
 	resting   bool
-	waited    bool     // for the moves of other processes from the present source
-	announced bool     // the present handover is in the log
+	departing bool     // tries to leave the present source have begun
 	failure   *attempt // an endpoint's own failure
 	reason    Reason
 	newest    time.Time // arrival of the newest event
@@ -194,6 +193,12 @@
 }
 
 func (r *streamRun) stalled(ctx context.Context) (Result, bool) {
+	if r.moved != nil && r.source != nil { // stopped, but its end does not arrive
+		r.source.close(time.Now(), outcomeNone)
+		r.source = nil
+		r.goOn(ctx, *r.moved)
+		return Result{}, false
+	}
 	if r.pending || r.source == nil {
 		r.arm()
 		return Result{}, false
@@ -304,7 +309,7 @@
 	}
 	r.source, r.moved, r.avoid = src, nil, nil
 	r.moving.Store(false)
-	r.waited, r.announced = false, false
+	r.departing = false
 	r.pauseLeaving(settle)
 	r.arm()
 }
