--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -63,6 +63,8 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int
+	HeaderTime  time.Duration // until a request's headers are complete
+	IdleTime    time.Duration // without a request on an open connection
 }
 
 // Table is one version of the configuration.
