--- a/internal/fleet/dgram/dgram.go
+++ b/internal/fleet/dgram/dgram.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	tick        = 50 * time.Millisecond // the shortest time between two messages to a peer
+	tick        = 20 * time.Millisecond // the shortest time between two messages to a peer
 	maxDatagram = 32 << 10
 )
 
--- a/internal/router/book/choose.go
+++ b/internal/router/book/choose.go
@@ -19,7 +19,7 @@
 
 	// tokenWeight and unreadWeight make the cost of an engine about the time to
 	// the first token: unread prompts are waited for, running calls slow steps down.
-	tokenWeight  = 0.5
+	tokenWeight  = 0.3
 	unreadWeight = 3.0
 
 	regionPenalty   = 0.5  // of an endpoint's capacity, for another region's
@@ -28,7 +28,7 @@
 	queuePenalty    = 0.05 // for each move that the new one queues behind
 	movePenalty     = 1.0  // for a move to another data centre: it takes twice as long
 
-	runSpread  = 0.01 // of an endpoint's capacity, by chance: breaks ties
+	runSpread  = 0.05 // of an endpoint's capacity, by chance: breaks ties
 	moveSpread = 0.1  // parts generations that leave an engine together
 
 	coldWindow = time.Second // in which a cold endpoint's calls are counted
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -40,7 +40,7 @@
 	// smallSpacing is the shortest time between two messages to one of a few
 	// partners, and newsSpacing times the square of their number to one of many, so
 	// that a process sends no more the more partners it has.
-	smallSpacing = 100 * time.Millisecond
+	smallSpacing = 20 * time.Millisecond
 	newsSpacing  = 3 * time.Millisecond
 )
 
