--- a/internal/router/serve/stream_test.go
+++ b/internal/router/serve/stream_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/claim"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
-	"github.com/mimosalock/mimosalock/internal/router/book"
 )
 
 // stream is 40 events, one each 50 ms.
