--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -25,9 +25,8 @@
 
 // Source reads the registry.
 type Source interface {
-	// List returns a whole listing. One that need not be fresh may be seconds old,
-	// which a watch from its revision makes good.
-	List(ctx context.Context, fresh bool) (Snapshot, error)
+	// List returns a whole listing that holds all changes up to its revision.
+	List(ctx context.Context) (Snapshot, error)
 	// Watch returns the changes after a revision, as soon as there are any, and the
 	// revision to go on from. It may return none after a while.
 	Watch(ctx context.Context, after uint64) ([]Event, uint64, error)
@@ -130,7 +129,7 @@
 	for ctx.Err() == nil {
 		pause := f.pace(time.Now())
 		if !f.listed {
-			pause = 0 // a listing may be old: what has changed since is read at once
+			pause = 0 // what has changed since the listing is read at once
 		}
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
@@ -151,13 +150,13 @@
 
 func (f *Follower) round(ctx context.Context) error {
 	if !f.listed {
-		return f.list(ctx, false)
+		return f.list(ctx)
 	}
 	events, at, err := f.Source.Watch(ctx, f.at.Load())
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.Info("registry_history_gone", zap.Uint64("revision", f.at.Load()))
 		f.listed = false
-		return f.list(ctx, true)
+		return f.list(ctx)
 	}
 	if err != nil {
 		return err
@@ -170,8 +169,8 @@
 	return nil
 }
 
-func (f *Follower) list(ctx context.Context, fresh bool) error {
-	s, err := f.Source.List(ctx, fresh)
+func (f *Follower) list(ctx context.Context) error {
+	s, err := f.Source.List(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -36,7 +36,7 @@
 	change(r)
 }
 
-func (r *registry) List(context.Context, bool) (Snapshot, error) {
+func (r *registry) List(context.Context) (Snapshot, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.away {
