Generations are stopped when little is left to copy

The log shows the last part of a move, during which the stream stands still, taking 0.14 s at the median and up to 0.88 s; 97 of 110 such moves overlapped others from the same engine: each entry of the region has a few runs there, and the turns that entries take by name were estimates, cut at 0.8 s.

Change: the memory is copied again while the run goes on until a copy takes 40 ms or less (1.2 s at most), then the run is stopped; a process's turn ends when those before it have left, or after one and a half times the estimate, 1 s at most. TestBusyLinkMakesNoGap and TestMovesTakeTurns fail without it; the stand-in's final move now stops the run first, as engines do.

--- a/internal/router/serve/bench_test.go
+++ b/internal/router/serve/bench_test.go
@@ -42,13 +42,15 @@
 
 // upstream is a stand-in for endpoints.
 type upstream struct {
-	mu       sync.Mutex
-	steps    []step
-	sent     []string // endpoint and what it was asked to go on from
-	runs     int      // sends that ran
-	stop     func()   // ends the run of a source that a final move stopped
-	moveErr  error
-	moveTime time.Duration
+	mu      sync.Mutex
+	steps   []step
+	sent    []string // endpoint and what it was asked to go on from
+	runs    int      // sends that ran
+	stop    func()   // ends the run of a source that a final move stopped
+	moveErr error
+	// moveTimes are how long moves take, in order; the last one repeats.
+	moveTimes []time.Duration
+	moves     []time.Time // when moves were asked for
 
 	endHidden  bool // a stopped run's stream falls silent and does not end
 	endsItself bool // the run ends just before a final move reaches it
@@ -87,7 +89,14 @@
 }
 
 func (u *upstream) Move(ctx context.Context, _ endpt.Endpoint, _ string, _ endpt.Endpoint, final bool) (string, error) {
-	if !sleepFor(ctx, u.moveTime) {
+	u.mu.Lock()
+	u.moves = append(u.moves, time.Now())
+	stop := u.stop
+	u.mu.Unlock()
+	if final && !u.endsItself && !u.endHidden {
+		stop()
+	}
+	if !sleepFor(ctx, u.moveTime()) {
 		return "", ctx.Err()
 	}
 	if u.moveErr != nil {
@@ -97,19 +106,25 @@
 		time.Sleep(reportLag)
 		return "", fmt.Errorf("move: %w", ErrNotRunning)
 	}
-	if final && u.endHidden {
-		return "handle", nil
-	}
-	if final {
-		u.mu.Lock()
-		stop := u.stop
-		u.mu.Unlock()
-		stop()
+	if final && !u.endHidden {
 		time.Sleep(reportLag)
 	}
 	return "handle", nil
 }
 
+func (u *upstream) moveTime() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.moveTimes) == 0 {
+		return 0
+	}
+	d := u.moveTimes[0]
+	if len(u.moveTimes) > 1 {
+		u.moveTimes = u.moveTimes[1:]
+	}
+	return d
+}
+
 // then sets how further sends are answered.
 func (u *upstream) then(steps ...step) {
 	u.mu.Lock()
@@ -195,7 +210,7 @@
 func newBench(steps ...step) *bench {
 	b := &bench{upstream: &upstream{steps: steps, stop: func() {}}, sink: &sink{}}
 	one := func() int { return 1 }
-	b.book = book.New(book.Config{DataCentre: "a1", Region: "a", Entries: one, Draw: func() int64 { return 1 }})
+	b.book = book.New(book.Config{DataCentre: "a1", Region: "a", Name: "me", Entries: one, Draw: func() int64 { return 1 }})
 	for _, id := range []string{"e1", "e2", "e3"} {
 		b.book.Put(time.Now(), endpt.Endpoint{ID: id, Born: 1, Service: "s", Address: id + ":1", DataCentre: "a1", Region: "a", Slots: 4})
 	}
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -161,25 +161,36 @@
 )
 
 // awaitTurn lets the moves of other processes from the same endpoint go first, in
-// the order of the processes' names, for as long as they should take.
+// the order of the processes' names: until they have left it, or for one and a
+// half times as long as that should take.
 func (r *streamRun) awaitTurn(ctx context.Context, src *source) bool {
-	ahead := r.s.Book.Ahead(time.Now(), src.lease.Endpoint.ID)
-	turn := time.NewTimer(min(longestTurn, time.Duration(ahead.Tokens)*r.in.Service.Engine.MoveTime))
-	defer turn.Stop()
-	select {
-	case <-turn.C:
-		return true
-	case <-ctx.Done():
-		return false
+	began, id := time.Now(), src.lease.Endpoint.ID
+	ahead := time.Duration(r.s.Book.Ahead(began, id).Tokens) * r.in.Service.Engine.MoveTime
+	limit := min(longestTurn, ahead*3/2)
+	look := time.NewTicker(turnPause)
+	defer look.Stop()
+	for time.Since(began) < limit && r.s.Book.Ahead(time.Now(), id).Calls > 0 {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return false
+		}
 	}
+	return true
 }
 
-// longestTurn bounds the wait for other processes: endpoints may leave within
-// one and a half seconds of their notice.
-const longestTurn = 800 * time.Millisecond
+const (
+	// longestTurn bounds the wait for other processes: endpoints may leave within
+	// one and a half seconds of their notice.
+	longestTurn = time.Second
+	turnPause   = 20 * time.Millisecond // about as often as processes tell each other their load
+	// longestCatchUp bounds the time from the first copy to the stop.
+	longestCatchUp = 1200 * time.Millisecond
+	quickCopy      = 40 * time.Millisecond // a stop for so long fits between two events
+)
 
-// move copies the memory while the run goes on, then stops the run and copies
-// the rest. The stream goes on at the target once the source's events are read.
+// move copies the memory while the run goes on, until little is left, then stops
+// the run and copies the rest. The stream goes on at the target once the source's events are read.
 func (r *streamRun) move(ctx context.Context, d departure) opened {
 	src := d.source
 	if d.first && !r.awaitTurn(ctx, src) {
@@ -202,6 +213,9 @@
 	if _, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, false); err != nil {
 		return r.moveFailed(src, target, false, err)
 	}
+	if err := r.catchUp(ctx, src, target, began); err != nil {
+		return r.moveFailed(src, target, false, err)
+	}
 	copied := time.Now()
 	r.moving.Store(true)
 	handle, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, true)
@@ -214,6 +228,22 @@
 	return opened{moved: &Memory{Address: src.lease.Endpoint.Address, Handle: handle}, target: target}
 }
 
+// catchUp copies what the run has made meanwhile until that is quick. A link that
+// carries the moves of other processes is slow also for a small part, and a run
+// that was stopped would stand still for as long.
+func (r *streamRun) catchUp(ctx context.Context, src *source, target *book.Lease, began time.Time) error {
+	for time.Since(began) < longestCatchUp {
+		again := time.Now()
+		if _, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, false); err != nil {
+			return err
+		}
+		if time.Since(again) <= quickCopy {
+			return nil
+		}
+	}
+	return nil
+}
+
 func (r *streamRun) moveFailed(src *source, target *book.Lease, final bool, err error) opened {
 	r.s.Meter.Handovers.WithLabelValues("failed").Inc()
 	r.s.Log.Info("move_failed", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
--- a/internal/router/serve/stream_test.go
+++ b/internal/router/serve/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/claim"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/router/book"
 )
 
 // stream is 40 events, one each 50 ms.
@@ -94,33 +95,100 @@
 	}
 }
 
+// quietLink carries the memory of a run in 100 ms, and what the run makes
+// meanwhile in 5 ms.
+var quietLink = []time.Duration{100 * time.Millisecond, 5 * time.Millisecond}
+
+// Spot notices at several endpoints: the link carries other moves for 0.9 s. The
+// run is not stopped before its last part is quick to copy.
+func TestBusyLinkMakesNoGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stream(0, 40))
+		b.moveTimes = []time.Duration{500 * time.Millisecond, 400 * time.Millisecond, 5 * time.Millisecond}
+		go func() {
+			time.Sleep(510 * time.Millisecond)
+			b.leave()
+			b.then(stream(28, 12)) // after the events before the stop, at 510 ms plus three copies
+		}()
+		result := b.serve(t.Context(), desc.KindStream, 1)
+		expectStream(t, b, result, claim.OutcomeComplete, 40)
+		if result.LongestGap > 180*time.Millisecond {
+			t.Fatalf("the stream stood still for %v, want 180ms at most", result.LongestGap)
+		}
+		expectNothingHeld(t, b)
+	})
+}
+
+// A spot notice at an endpoint that serves several processes: they move in the
+// order of their names, each as soon as those before it have left.
+func TestMovesTakeTurns(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		peer    string
+		tokens  int
+		leaves  time.Duration // when the peer's work has left, after the notice
+		atLeast time.Duration
+		atMost  time.Duration
+	}{
+		{"nobody before", "other", 4000, 5 * time.Second, 0, 0},
+		{"the one before is done", "before", 4000, 100 * time.Millisecond, 100 * time.Millisecond, 120 * time.Millisecond},
+		{"the one before does not leave", "before", 4000, 5 * time.Second, 300 * time.Millisecond, 320 * time.Millisecond},
+		{"much before", "before", 40_000, 5 * time.Second, longestTurn, longestTurn + 20*time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(stream(0, 40))
+				b.moveTimes = quietLink
+				tell := func(tokens int) {
+					load := book.Load{Calls: min(1, tokens), Tokens: tokens}
+					b.book.SetPeerLoad(time.Now(), test.peer, map[string]book.Load{b.first(): load})
+				}
+				var notice time.Time
+				go func() {
+					time.Sleep(510 * time.Millisecond)
+					tell(test.tokens)
+					notice = time.Now()
+					b.leave()
+					time.Sleep(test.leaves)
+					tell(0)
+				}()
+				b.serve(t.Context(), desc.KindStream, 1)
+				if waited := b.moves[0].Sub(notice); waited < test.atLeast || waited > test.atMost {
+					t.Fatalf("the move began %v after the notice, want %v to %v", waited, test.atLeast, test.atMost)
+				}
+				expectNothingHeld(t, b)
+			})
+		})
+	}
+}
+
 // A spot notice: the generation moves with its memory and goes on in the same
 // answer, without a gap, a repeat or an early end.
 func TestNotice(t *testing.T) {
 	for _, test := range []struct {
-		name     string
-		moveErr  error
-		moveTime time.Duration
-		outcome  claim.Outcome
-		events   int
-		sends    int
+		name    string
+		moveErr error
+		moves   []time.Duration
+		outcome claim.Outcome
+		events  int
+		sends   int
 	}{
-		{"moved", nil, 100 * time.Millisecond, claim.OutcomeComplete, 40, 2},
-		{"no engine takes it", errors.New("no room"), time.Millisecond, claim.OutcomeInterrupted, 30, 1},
-		{"the move takes too long", nil, time.Hour, claim.OutcomeInterrupted, 30, 1},
+		{"moved", nil, quietLink, claim.OutcomeComplete, 40, 2},
+		{"no engine takes it", errors.New("no room"), quietLink, claim.OutcomeInterrupted, 30, 1},
+		{"the move takes too long", nil, []time.Duration{time.Hour}, claim.OutcomeInterrupted, 30, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				first := stream(0, 30)
 				first.cut = true
 				b := newBench(first)
-				b.moveErr, b.moveTime = test.moveErr, test.moveTime
+				b.moveErr, b.moveTimes = test.moveErr, test.moves
 				go func() {
 					time.Sleep(510 * time.Millisecond)
 					b.leave()
 					// What the second engine makes follows the events before the stop, at
-					// 510 ms plus two moves.
-					b.then(stream(14, 26))
+					// 510 ms plus two copies.
+					b.then(stream(12, 28))
 				}()
 				expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), test.outcome, test.events)
 				if sent, _ := b.sends(); len(sent) != test.sends {
@@ -136,7 +204,7 @@
 func TestEndOfTheSourceIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(step{status: http.StatusOK, events: 12, gap: 50 * time.Millisecond, hang: true})
-		b.endHidden, b.moveTime = true, 100*time.Millisecond
+		b.endHidden, b.moveTimes = true, quietLink
 		go func() {
 			time.Sleep(510 * time.Millisecond)
 			b.leave()
@@ -151,7 +219,7 @@
 func TestEndMeetsTheMove(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(stream(0, 16)) // ends at 800 ms
-		b.endsItself, b.moveTime = true, 140*time.Millisecond
+		b.endsItself, b.moveTimes = true, []time.Duration{140 * time.Millisecond, 5 * time.Millisecond}
 		go func() {
 			time.Sleep(650 * time.Millisecond)
 			b.leave()
@@ -161,13 +229,15 @@
 	})
 }
 
-// leave takes the endpoint of the first send away.
-func (b *bench) leave() {
+// first returns the endpoint of the first send.
+func (b *bench) first() string {
 	sent, _ := b.sends()
-	id := strings.Fields(sent[0])[0]
-	b.book.Remove(time.Now(), id, time.Time{})
+	return strings.Fields(sent[0])[0]
 }
 
+// leave takes the endpoint of the first send away.
+func (b *bench) leave() { b.book.Remove(time.Now(), b.first(), time.Time{}) }
+
 func TestCallerLeaves(t *testing.T) {
 	for _, kind := range []desc.Kind{desc.KindOnce, desc.KindIdempotent, desc.KindStream, desc.KindResumableStream} {
 		t.Run(kind.String(), func(t *testing.T) {
