A copy outlives its source, and copies that are not needed are freed

Change: the handle of the first copy is kept. If the source breaks off or falls silent, the stream goes on from the copy, which the engines count as the same run. A copy that is not used is given up by its handle; the first copy is awaited also if its call ends, since only the handle frees it. A refused move is told from a lost one. TestCopyOutlivesItsSource and TestCopiesAreFreed fail without it.

Ruled out: memory that failed final moves leave at the source, which is leaving.

--- a/internal/router/serve/bench_test.go
+++ b/internal/router/serve/bench_test.go
@@ -51,6 +51,8 @@
 	// moveTimes are how long moves take, in order; the last one repeats.
 	moveTimes []time.Duration
 	moves     []time.Time // when moves were asked for
+	moveGood  int         // moves that succeed before moveErr
+	freed     int         // copies that were given up
 
 	endHidden  bool // a stopped run's stream falls silent and does not end
 	endsItself bool // the run ends just before a final move reaches it
@@ -91,6 +93,7 @@
 func (u *upstream) Move(ctx context.Context, _ endpt.Endpoint, _ string, _ endpt.Endpoint, final bool) (string, error) {
 	u.mu.Lock()
 	u.moves = append(u.moves, time.Now())
+	fails := u.moveErr != nil && len(u.moves) > u.moveGood
 	stop := u.stop
 	u.mu.Unlock()
 	if final && !u.endsItself && !u.endHidden {
@@ -99,7 +102,7 @@
 	if !sleepFor(ctx, u.moveTime()) {
 		return "", ctx.Err()
 	}
-	if u.moveErr != nil {
+	if fails {
 		return "", u.moveErr
 	}
 	if final && u.endsItself {
@@ -112,6 +115,13 @@
 	return "handle", nil
 }
 
+func (u *upstream) Free(context.Context, endpt.Endpoint, string) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.freed++
+	return nil
+}
+
 func (u *upstream) moveTime() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/router/serve/handover.go
+++ b/internal/router/serve/handover.go
@@ -95,6 +95,10 @@
 	if r.pending {
 		return Result{}, false // the move under way may still bring a source
 	}
+	if r.spare != nil {
+		r.goOn(ctx, r.spare)
+		return Result{}, false
+	}
 	if r.retry(ctx, opened{attempt: attempt{verdict: verdictLost}}) {
 		return Result{}, false
 	}
@@ -133,8 +137,8 @@
 // handover takes a running generation to another engine while its own still
 // runs it.
 func (r *streamRun) handover(ctx context.Context, why string) {
-	d := departure{source: r.source, first: !r.departing, avoid: slices.Clone(r.avoid)}
-	r.departing = true
+	d := departure{source: r.source, first: !r.departing, avoid: slices.Clone(r.avoid), spare: r.spare}
+	r.departing, r.spare = true, nil
 	if d.first {
 		r.s.Log.Info("handover", zap.String("id", r.in.Call.ID), zap.String("endpoint", d.source.lease.Endpoint.ID),
 			zap.String("why", why), zap.String("after", r.lastID))
@@ -146,8 +150,9 @@
 // departure is one try to leave an endpoint, with what it needs of the run's state.
 type departure struct {
 	source *source
-	first  bool     // the first try from this endpoint
-	avoid  []string // engines that took no copy of the memory
+	first  bool      // the first try from this endpoint
+	avoid  []string  // engines that took no copy of the memory
+	spare  *heldCopy // of an earlier try
 }
 
 const (
@@ -201,40 +206,67 @@
 		return opened{refused: ended(ctx)}
 	}
 	defer leave()
-	target := r.reserve(src.lease, d.avoid)
-	if target == nil {
-		if d.first {
-			r.s.Log.Info("no_target", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
-				zap.String("region", src.lease.Endpoint.Region), zap.Int("tokens", r.in.Call.Tokens()))
+	held := d.spare
+	if held == nil {
+		var failed opened
+		if held, failed = r.firstCopy(ctx, d); held == nil {
+			return failed
 		}
-		return opened{refused: ReasonNoEndpoint}
 	}
-	began := time.Now()
-	if _, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, false); err != nil {
-		return r.moveFailed(src, target, false, err)
-	}
-	if err := r.catchUp(ctx, src, target, began); err != nil {
-		return r.moveFailed(src, target, false, err)
+	if err := r.catchUp(ctx, src, held); err != nil {
+		return r.moveFailed(src, held, false, err)
 	}
 	copied := time.Now()
 	r.moving.Store(true)
-	handle, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, true)
+	handle, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, held.target.Endpoint, true)
 	if err != nil {
-		return r.moveFailed(src, target, true, err)
+		return r.moveFailed(src, held, true, err)
 	}
+	held.memory.Handle = handle
 	r.s.Meter.Handovers.WithLabelValues("moved").Inc()
-	r.s.Log.Info("moved", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", target.Endpoint.ID),
-		zap.Duration("copy_took", copied.Sub(began)), zap.Duration("stop_took", time.Since(copied)))
-	return opened{moved: &Memory{Address: src.lease.Endpoint.Address, Handle: handle}, target: target}
+	r.s.Log.Info("moved", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", held.target.Endpoint.ID),
+		zap.Duration("copy_took", copied.Sub(held.began)), zap.Duration("stop_took", time.Since(copied)))
+	return opened{moved: held}
+}
+
+// heldCopy is a copy of a running generation's memory at another engine, with
+// the room that it takes there.
+type heldCopy struct {
+	memory Memory
+	target *book.Lease
+	began  time.Time
+}
+
+// firstCopy finds an engine for the generation and copies its memory there. It
+// returns nil and a report if that fails.
+func (r *streamRun) firstCopy(ctx context.Context, d departure) (*heldCopy, opened) {
+	from := d.source.lease.Endpoint
+	target := r.reserve(d.source.lease, d.avoid)
+	if target == nil {
+		if d.first {
+			r.s.Log.Info("no_target", zap.String("id", r.in.Call.ID), zap.String("from", from.ID),
+				zap.String("region", from.Region), zap.Int("tokens", r.in.Call.Tokens()))
+		}
+		return nil, opened{refused: ReasonNoEndpoint}
+	}
+	began := time.Now()
+	// The copy is made also if the call ends meanwhile: only its handle frees it.
+	handle, err := r.s.Upstream.Move(context.WithoutCancel(ctx), from, r.in.Call.ID, target.Endpoint, false)
+	if err != nil {
+		r.logMoveFailed(d.source, target, false, err)
+		target.Release(time.Now(), outcomeNone)
+		return nil, opened{refused: ReasonLost, avoid: target.Endpoint.ID, notRunning: errors.Is(err, ErrNotRunning)}
+	}
+	return &heldCopy{memory: Memory{Address: from.Address, Handle: handle}, target: target, began: began}, opened{}
 }
 
 // catchUp copies what the run has made meanwhile until that is quick. A link that
 // carries the moves of other processes is slow also for a small part, and a run
 // that was stopped would stand still for as long.
-func (r *streamRun) catchUp(ctx context.Context, src *source, target *book.Lease, began time.Time) error {
-	for time.Since(began) < longestCatchUp {
+func (r *streamRun) catchUp(ctx context.Context, src *source, held *heldCopy) error {
+	for time.Since(held.began) < longestCatchUp {
 		again := time.Now()
-		if _, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, target.Endpoint, false); err != nil {
+		if _, err := r.s.Upstream.Move(ctx, src.lease.Endpoint, r.in.Call.ID, held.target.Endpoint, false); err != nil {
 			return err
 		}
 		if time.Since(again) <= quickCopy {
@@ -244,17 +276,48 @@
 	return nil
 }
 
-func (r *streamRun) moveFailed(src *source, target *book.Lease, final bool, err error) opened {
+// moveFailed reports a move that failed after its first copy. If the source did
+// not answer, the copy is kept for the case that the stream breaks off: an engine
+// that goes on from it counts as the same run.
+func (r *streamRun) moveFailed(src *source, held *heldCopy, final bool, err error) opened {
+	r.logMoveFailed(src, held.target, final, err)
+	switch {
+	case errors.Is(err, ErrNotRunning):
+		r.s.discard(held)
+		return opened{refused: ReasonLost, notRunning: true}
+	case errors.Is(err, ErrMoveRefused):
+		r.s.discard(held)
+		return opened{refused: ReasonLost, avoid: held.target.Endpoint.ID}
+	}
+	return opened{refused: ReasonLost, spare: held}
+}
+
+func (r *streamRun) logMoveFailed(src *source, target *book.Lease, final bool, err error) {
 	r.s.Meter.Handovers.WithLabelValues("failed").Inc()
 	r.s.Log.Info("move_failed", zap.String("id", r.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
 		zap.String("to", target.Endpoint.ID), zap.Bool("final", final), zap.Error(err))
-	target.Release(time.Now(), outcomeNone)
-	return opened{refused: ReasonLost, avoid: target.Endpoint.ID, notRunning: errors.Is(err, ErrNotRunning)}
 }
 
-// goOn sends the stream to the engine that its memory was moved to.
-func (r *streamRun) goOn(ctx context.Context, memory Memory) {
-	target := r.target
-	r.target, r.moved = nil, nil
-	r.resume(ctx, target, memory)
+// goOn sends the stream to the engine that holds its memory.
+func (r *streamRun) goOn(ctx context.Context, held *heldCopy) {
+	r.moved, r.spare = nil, nil
+	r.resume(ctx, held.target, held.memory)
+}
+
+// discard frees a copy that is not needed, nil for none. An engine would keep it
+// for many seconds.
+func (s *Server) discard(held *heldCopy) {
+	if held == nil {
+		return
+	}
+	held.target.Release(time.Now(), outcomeNone)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := s.Upstream.Free(ctx, held.target.Endpoint, held.memory.Handle); err != nil {
+			s.Log.Info("copy_not_freed", zap.String("endpoint", held.target.Endpoint.ID), zap.Error(err))
+		}
+	}()
 }
+
+const freeTimeout = time.Second // an engine answers at once
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -28,12 +28,18 @@
 	Send(ctx context.Context, to endpt.Endpoint, s Shipment) (*Answer, error)
 	// Move copies a running generation's memory to another engine. A final move
 	// stops the run first and returns the memory's handle. The error is
-	// ErrNotRunning if the run has ended by itself.
+	// ErrNotRunning if the run has ended by itself, and ErrMoveRefused if the engine
+	// answered that it cannot move it.
 	Move(ctx context.Context, from endpt.Endpoint, callID string, to endpt.Endpoint, final bool) (handle string, err error)
+	// Free gives up the copy that an engine holds under a handle.
+	Free(ctx context.Context, at endpt.Endpoint, handle string) error
 }
 
-// ErrNotRunning is returned by Move for a run that has ended.
-var ErrNotRunning = errors.New("the engine runs no such call")
+// Errors of Move.
+var (
+	ErrNotRunning  = errors.New("the engine runs no such call")
+	ErrMoveRefused = errors.New("the engine refuses the move")
+)
 
 // Sink takes the answer for the caller.
 type Sink interface {
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -91,9 +91,3 @@
 	src.cancel()
 	src.lease.Release(now, outcome)
 }
-
-func release(l *book.Lease) {
-	if l != nil {
-		l.Release(time.Now(), book.OutcomeNone)
-	}
-}
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -12,7 +12,6 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/claim"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
-	"github.com/mimosalock/mimosalock/internal/router/book"
 )
 
 const (
@@ -33,8 +32,8 @@
 	source    *source     // the present one, nil before the first and after a loss
 	next      chan opened // reports of the step under way
 	pending   bool        // a step is under way
-	moved     *Memory     // the present source was stopped and its memory lies here
-	target    *book.Lease // the engine that the memory was moved to
+	moved     *heldCopy   // the present source was stopped and its memory lies here
+	spare     *heldCopy   // what was copied of the present source before its move failed
 	moving    atomic.Bool // the present source is being stopped by a final move
 	ended     bool        // the last source's body was complete, but a move was under way
 	begun     bool
@@ -57,11 +56,11 @@
 type opened struct {
 	source     *source
 	attempt    attempt
-	moved      *Memory
-	target     *book.Lease // of a moved memory
-	refused    Reason      // no place was found
-	avoid      string      // an engine that took no copy
-	notRunning bool        // the run had ended by itself before it could be moved
+	moved      *heldCopy
+	spare      *heldCopy // of a move that failed after the first copy
+	refused    Reason    // no place was found
+	avoid      string    // an engine that took no copy
+	notRunning bool      // the run had ended by itself before it could be moved
 }
 
 // stream serves a call that is answered by events.
@@ -91,14 +90,16 @@
 	if r.source != nil {
 		r.source.close(time.Now(), outcomeNone)
 	}
-	release(r.target)
+	r.s.discard(r.moved)
+	r.s.discard(r.spare)
 	if r.pending {
 		go func() {
 			o := <-r.next
 			if o.source != nil {
 				o.source.close(time.Now(), outcomeNone)
 			}
-			release(o.target)
+			r.s.discard(o.moved)
+			r.s.discard(o.spare)
 		}()
 	}
 }
@@ -148,7 +149,7 @@
 	case r.moved != nil:
 		r.source.close(time.Now(), outcomeNone)
 		r.source = nil
-		r.goOn(ctx, *r.moved)
+		r.goOn(ctx, r.moved)
 		return Result{}, false
 	}
 	r.s.Log.Info("stream_broken", zap.String("id", r.in.Call.ID), zap.String("endpoint", r.source.lease.Endpoint.ID),
@@ -196,7 +197,7 @@
 	if r.moved != nil && r.source != nil { // stopped, but its end does not arrive
 		r.source.close(time.Now(), outcomeNone)
 		r.source = nil
-		r.goOn(ctx, *r.moved)
+		r.goOn(ctx, r.moved)
 		return Result{}, false
 	}
 	if r.pending || r.source == nil {
@@ -205,7 +206,8 @@
 	}
 	r.s.Log.Info("stream_silent", zap.String("id", r.in.Call.ID), zap.String("endpoint", r.source.lease.Endpoint.ID),
 		zap.String("after", r.lastID))
-	if r.in.Call.Kind != desc.KindResumableStream || !r.s.Spend.Left(time.Now(), r.in.Call.Service) {
+	resumable := r.in.Call.Kind == desc.KindResumableStream || r.spare != nil
+	if !resumable || !r.s.Spend.Left(time.Now(), r.in.Call.Service) {
 		r.arm()
 		return Result{}, false // the endpoint may still go on; nothing else could
 	}
@@ -219,9 +221,9 @@
 		r.adopt(o.source)
 		return Result{}, false
 	case o.moved != nil:
-		r.moved, r.target = o.moved, o.target
+		r.moved = o.moved
 		if r.source == nil { // it ended before the move reported
-			r.goOn(ctx, *r.moved)
+			r.goOn(ctx, r.moved)
 		}
 		return Result{}, false
 	case o.notRunning && r.ended:
@@ -229,11 +231,14 @@
 		return Result{Outcome: claim.OutcomeComplete}, true
 	case o.refused != ReasonNone:
 		r.reason = o.refused
+		r.spare = o.spare
 		r.moving.Store(false)
 		r.pauseLeaving(restBetween)
-		if o.avoid == "" {
+		switch {
+		case o.spare != nil: // the next try goes on with this copy
+		case o.avoid == "":
 			r.avoid = nil // all refused: ask them again, as room comes and goes
-		} else {
+		default:
 			r.avoid = append(r.avoid, o.avoid)
 		}
 	default:
@@ -243,6 +248,10 @@
 	if r.source != nil {
 		return Result{}, false // the handover failed; the present source goes on
 	}
+	if r.spare != nil && !r.ended {
+		r.goOn(ctx, r.spare)
+		return Result{}, false
+	}
 	if r.retry(ctx, o) {
 		return Result{}, false
 	}
@@ -307,7 +316,8 @@
 		r.in.Sink.Begin(src.answer)
 		r.state = r.state.WithOffer().WithAccept()
 	}
-	r.source, r.moved, r.avoid = src, nil, nil
+	r.s.discard(r.spare)
+	r.source, r.moved, r.spare, r.avoid = src, nil, nil, nil
 	r.moving.Store(false)
 	r.departing = false
 	r.pauseLeaving(settle)
--- a/internal/router/serve/stream_test.go
+++ b/internal/router/serve/stream_test.go
@@ -175,7 +175,7 @@
 	}{
 		{"moved", nil, quietLink, claim.OutcomeComplete, 40, 2},
 		{"no engine takes it", errors.New("no room"), quietLink, claim.OutcomeInterrupted, 30, 1},
-		{"the move takes too long", nil, []time.Duration{time.Hour}, claim.OutcomeInterrupted, 30, 1},
+		{"the move takes too long", nil, []time.Duration{20 * time.Second}, claim.OutcomeInterrupted, 30, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -200,6 +200,66 @@
 	}
 }
 
+// An engine that breaks off, or freezes, after the first copy of a run's memory: the
+// run goes on from the copy.
+func TestCopyOutlivesItsSource(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		hang  bool
+		moves []time.Duration
+	}{
+		{"breaks before the move reports", false, []time.Duration{100 * time.Millisecond, 150 * time.Millisecond}},
+		{"breaks after the move reports", false, []time.Duration{100 * time.Millisecond, 20 * time.Millisecond}},
+		{"freezes", true, []time.Duration{100 * time.Millisecond, 20 * time.Millisecond}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := stream(0, 14) // until 700 ms
+				first.cut, first.hang = !test.hang, test.hang
+				b := newBench(first)
+				b.moveErr, b.moveGood, b.moveTimes = brokenErr, 1, test.moves
+				go func() {
+					time.Sleep(510 * time.Millisecond)
+					b.leave()
+					b.then(stream(12, 28)) // after what the copy holds
+				}()
+				expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), claim.OutcomeComplete, 40)
+				expectNothingHeld(t, b)
+			})
+		})
+	}
+}
+
+// A copy that is not needed is given up: its engine would keep it for long.
+func TestCopiesAreFreed(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		err    error
+		events int // of the source, one each 50 ms
+	}{
+		{"the run ends before it is stopped", ErrNotRunning, 13},
+		{"the move is refused", ErrMoveRefused, 14},
+		{"the engine does not answer, but goes on", brokenErr, 14},
+		{"the call ends in the first copy", nil, 11},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(stream(0, test.events))
+				b.moveErr, b.moveGood, b.moveTimes = test.err, 1, []time.Duration{100 * time.Millisecond}
+				go func() {
+					time.Sleep(510 * time.Millisecond)
+					b.leave()
+				}()
+				expectStream(t, b, b.serve(t.Context(), desc.KindStream, 1), claim.OutcomeComplete, test.events)
+				expectNothingHeld(t, b)
+				if b.freed != 1 {
+					t.Fatalf("%d copies were freed, want 1", b.freed)
+				}
+			})
+		})
+	}
+}
+
 // A stopped source whose connection went silent does not hold its stream up.
 func TestEndOfTheSourceIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
