--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -71,10 +71,6 @@
 	// pace is the pause between two watches. It gathers changes that come together
 	// into one priced call.
 	pace = 20 * time.Millisecond
-	// restPace is the pause of a process whose peers follow the registry closely
-	// and pass on what leaves. It keeps each process within the platform's bounds
-	// for drains and configurations on its own.
-	restPace = time.Second
 	// outage is how long the registry must fail before entries that vanish count
 	// as expired with it. Three missed heartbeats of a second remove one.
 	outage = 1500 * time.Millisecond
@@ -103,6 +99,9 @@
 	// Leads reports whether this process is one of those that follow the registry
 	// closely. nil means yes.
 	Leads func(now time.Time) bool
+	// RestPace is the pause of a process that does not lead. Peers pass on what
+	// leaves, but configurations are only read.
+	RestPace time.Duration
 }
 
 // Follower follows one registry.
@@ -145,7 +144,7 @@
 	if f.Leads == nil || f.Leads(now) {
 		return pace
 	}
-	return restPace
+	return f.RestPace
 }
 
 func (f *Follower) round(ctx context.Context) error {
