News that an endpoint leaves carries the registry's revision

Peers passed the news of its leaving on for five seconds, and entries that had listed it again took it out once more, for good: no plain endpoint was left in the data centre. An entry that had heard the news and not seen the removal kept it out as well.

Change: the news carries the revision at which the registry said so. It does not concern an entry that was written later, and an endpoint that is listed as ready with a later revision is back. Three new rows of TestListing fail without it.

Ruled out: the registry's own listing (it has the entry).

--- a/internal/fleet/dgram/dgram_test.go
+++ b/internal/fleet/dgram/dgram_test.go
@@ -48,7 +48,7 @@
 	left := false
 	for range 500 {
 		if len(g.Followers(time.Now())) > 0 && !left {
-			g.Left(time.Now(), "e", 1)
+			g.Left(time.Now(), endpt.Endpoint{ID: "e", Born: 1})
 			left = true
 		}
 		if b.Usable(time.Now(), book.Need{Service: "s"}) == 0 {
--- a/internal/fleet/endpt/endpt.go
+++ b/internal/fleet/endpt/endpt.go
@@ -11,6 +11,7 @@
 	Region     string
 	Slots      int // requests that it works on at once
 	Draining   bool
+	Revision   uint64 // of the registry, when this was written or removed
 }
 
 // Same reports whether both name the same incarnation: an endpoint may start
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -51,7 +51,10 @@
 type EndpointPut struct{ Endpoint endpt.Endpoint }
 
 // EndpointGone is an endpoint whose entry was removed or names none any more.
-type EndpointGone struct{ ID string }
+type EndpointGone struct {
+	ID       string
+	Revision uint64
+}
 
 // TablePut is a new version of the configuration.
 type TablePut struct{ Table *table.Table }
@@ -220,7 +223,7 @@
 		f.evacuate(now, centre, true, nil)
 	}
 	for _, c := range f.Book.Replace(now, s.Endpoints, f.grace) {
-		f.changed(c)
+		f.changed(c.At(s.At))
 	}
 }
 
@@ -242,7 +245,7 @@
 	case EndpointPut:
 		f.changed(f.Book.Put(now, e.Endpoint))
 	case EndpointGone:
-		f.changed(f.Book.Remove(now, e.ID, f.grace))
+		f.changed(f.Book.Remove(now, e.ID, f.grace).At(e.Revision))
 	case TablePut:
 		f.applyTable(e.Table)
 	case CentreChanged:
@@ -317,7 +320,7 @@
 	if err != nil || !leaving {
 		return // an endpoint that cannot be asked shows in its calls
 	}
-	f.changed(f.Book.Leave(e.ID, e.Born))
+	f.changed(f.Book.Leave(e.ID, e.Born, e.Revision))
 }
 
 // backoff returns the pause before the next try: doubled each time, with jitter
--- a/internal/router/book/book.go
+++ b/internal/router/book/book.go
@@ -63,6 +63,7 @@
 	mine     Load
 	leaving  chan struct{} // closed once it gets no new work
 	left     bool
+	leftAt   uint64    // revision of the registry that says so
 	lapsed   time.Time // missing from the registry: usable until then, zero if listed
 	removed  bool
 	sent     []time.Time // sends within coldWindow
@@ -166,7 +167,7 @@
 	case OutcomeFailed:
 		e.grey += greyWeight * (1 - e.grey)
 	case OutcomeGone:
-		e.leave()
+		e.leave(e.endpoint.Revision)
 	case OutcomeUnusable:
 		e.failures++
 		e.suspect = now.Add(min(suspectMost, suspectFirst<<min(suspectShift, e.failures-1)))
--- a/internal/router/book/book_test.go
+++ b/internal/router/book/book_test.go
@@ -209,6 +209,11 @@
 }
 
 func TestListing(t *testing.T) {
+	written := func(revision uint64) endpt.Endpoint {
+		e := engine("e", "a1")
+		e.Revision = revision
+		return e
+	}
 	restarted := engine("e", "a1")
 	restarted.Born = 2
 	draining := engine("e", "a1")
@@ -236,8 +241,21 @@
 			b.Remove(time.Now(), "e", time.Now().Add(time.Second))
 			return b.Put(time.Now(), engine("e", "a1"))
 		}, WhatReturn, true},
-		{"a peer says that it leaves", func(b *Book) Change { return b.Leave("e", 1) }, WhatLeaving, false},
-		{"a peer speaks of an earlier incarnation", func(b *Book) Change { return b.Leave("e", 0) }, WhatNone, true},
+		{"a peer says that it leaves", func(b *Book) Change { return b.Leave("e", 1, 0) }, WhatLeaving, false},
+		{"a peer speaks of an earlier incarnation", func(b *Book) Change { return b.Leave("e", 0, 0) }, WhatNone, true},
+		{"a peer says that it leaves, and it lists itself again", func(b *Book) Change {
+			b.Leave("e", 1, 8)
+			return b.Put(time.Now(), written(9))
+		}, WhatAdded, true},
+		{"a peer says that it leaves, and an older listing has it", func(b *Book) Change {
+			b.Leave("e", 1, 8)
+			return b.Put(time.Now(), written(7))
+		}, WhatNone, false},
+		{"a peer speaks of an entry that was written again", func(b *Book) Change {
+			b.Remove(time.Now(), "e", time.Time{})
+			b.Put(time.Now(), written(9))
+			return b.Leave("e", 1, 8)
+		}, WhatNone, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/router/book/list.go
+++ b/internal/router/book/list.go
@@ -13,6 +13,12 @@
 	What     What
 }
 
+// At returns the change as seen at a revision of the registry.
+func (c Change) At(revision uint64) Change {
+	c.Endpoint.Revision = revision
+	return c
+}
+
 // What names a Change.
 type What uint8
 
@@ -44,14 +50,14 @@
 	if known && ep.Born < e.endpoint.Born {
 		return Change{Endpoint: ep} // a late message of an earlier incarnation
 	}
-	if !known || e.removed || !e.endpoint.Same(ep) {
+	if !known || e.removed || !e.endpoint.Same(ep) || e.returns(ep) {
 		if known {
-			e.leave()
+			e.leave(ep.Revision)
 		}
 		e = &entry{endpoint: ep, leaving: make(chan struct{})}
 		b.endpoints[ep.ID] = e
 		if ep.Draining {
-			e.leave()
+			e.leave(ep.Revision)
 			return Change{ep, WhatLeaving}
 		}
 		return Change{ep, WhatAdded}
@@ -59,7 +65,7 @@
 	e.endpoint = ep
 	switch {
 	case ep.Draining && !e.left:
-		e.leave()
+		e.leave(ep.Revision)
 		return Change{ep, WhatLeaving}
 	case !e.lapsed.IsZero():
 		e.lapsed = time.Time{}
@@ -68,25 +74,32 @@
 	return Change{Endpoint: ep}
 }
 
-// leave ends new work for the endpoint, for good: an incarnation that leaves
-// does not come back.
-func (e *entry) leave() {
+// leave ends new work for the endpoint, on a word of that revision. An incarnation
+// that drains does not come back; one whose entry went missing may.
+func (e *entry) leave(revision uint64) {
 	if !e.left {
-		e.left = true
+		e.left, e.leftAt = true, revision
 		close(e.leaving)
 	}
 }
 
-// Leave ends new work for an endpoint on a peer's word.
-func (b *Book) Leave(id string, born int64) Change {
+// returns reports whether an endpoint that was said to leave has listed itself
+// again since. The removal between may not have been seen.
+func (e *entry) returns(ep endpt.Endpoint) bool {
+	return e.left && !ep.Draining && ep.Revision > e.leftAt
+}
+
+// Leave ends new work for an endpoint on a peer's word. An endpoint that listed
+// itself again after the revision that the peer speaks of has not left.
+func (b *Book) Leave(id string, born int64, revision uint64) Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, known := b.endpoints[id]
-	if !known || e.left || e.endpoint.Born != born {
+	if !known || e.left || e.endpoint.Born != born || e.endpoint.Revision > revision {
 		return Change{}
 	}
-	e.leave()
-	return Change{e.endpoint, WhatLeaving}
+	e.leave(revision)
+	return Change{e.endpoint, WhatLeaving}.At(revision)
 }
 
 // Busy returns the engines that run generations of this process.
@@ -138,7 +151,7 @@
 		return Change{e.endpoint, WhatLapsed}
 	}
 	wasLeft := e.left
-	e.leave()
+	e.leave(e.endpoint.Revision)
 	e.removed = true
 	if e.mine == (Load{}) {
 		delete(b.endpoints, id)
--- a/internal/router/share/share.go
+++ b/internal/router/share/share.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/router/book"
 )
 
@@ -51,11 +52,17 @@
 	Incarnation uint64            `msgpack:"i"`
 	Sequence    uint64            `msgpack:"s"`
 	Loads       map[string][4]int `msgpack:"l"` // the fields of book.Load by endpoint ID
-	Leaving     map[string]int64  `msgpack:"g"` // birth by endpoint ID
+	Leaving     map[string]leaves `msgpack:"g"` // by endpoint ID
 	Follows     bool              `msgpack:"f"` // the sender's registry answers
 	Members     []member          `msgpack:"m"` // some of the processes that the sender knows
 }
 
+// leaves tells which incarnation of an endpoint leaves.
+type leaves struct {
+	Born     int64  `msgpack:"b"`
+	Revision uint64 `msgpack:"v"` // of the registry that says so
+}
+
 type member struct {
 	Address string `msgpack:"a"`
 	Region  string `msgpack:"r"`
@@ -102,8 +109,8 @@
 }
 
 type leaving struct {
-	born int64
-	at   time.Time
+	leaves
+	at time.Time
 }
 
 // New returns a group that knows only the seeds.
@@ -195,10 +202,10 @@
 }
 
 // Left notes an endpoint that gets no new work, to be passed on.
-func (g *Group) Left(now time.Time, id string, born int64) {
+func (g *Group) Left(now time.Time, e endpt.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving[id] = leaving{born, now}
+	g.leaving[e.ID] = leaving{leaves{e.Born, e.Revision}, now}
 	g.changed = true
 }
 
@@ -310,10 +317,10 @@
 	}
 }
 
-func (g *Group) recentlyLeft() map[string]int64 {
-	out := make(map[string]int64, len(g.leaving))
+func (g *Group) recentlyLeft() map[string]leaves {
+	out := make(map[string]leaves, len(g.leaving))
 	for id, l := range g.leaving {
-		out[id] = l.born
+		out[id] = l.leaves
 	}
 	return out
 }
@@ -346,9 +353,9 @@
 		loads[id] = book.Load{Calls: l[0], Tokens: l[1], Unread: l[2], Moves: l[3]}
 	}
 	g.cfg.Book.SetPeerLoad(now, m.Address, loads)
-	for id, born := range m.Leaving {
-		if c := g.cfg.Book.Leave(id, born); c.What != book.WhatNone {
-			g.Left(now, id, born)
+	for id, l := range m.Leaving {
+		if c := g.cfg.Book.Leave(id, l.Born, l.Revision); c.What != book.WhatNone {
+			g.Left(now, c.Endpoint)
 			g.cfg.Log.Info("endpoint_"+c.What.String(), zap.String("endpoint", id), zap.String("told_by", m.Address))
 		}
 	}
--- a/internal/router/share/share_test.go
+++ b/internal/router/share/share_test.go
@@ -98,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		f.rounds(t, 2*time.Second)
-		f.groups["a"].Left(time.Now(), "e", 1)
+		f.groups["a"].Left(time.Now(), endpt.Endpoint{ID: "e", Born: 1})
 		f.rounds(t, 100*time.Millisecond)
 		for _, address := range []string{"b", "c"} {
 			if f.books[address].Usable(time.Now(), book.Need{Service: "s"}) != 0 {
