--- a/internal/stand/cutter/cutter.go
+++ b/internal/stand/cutter/cutter.go
@@ -25,7 +25,7 @@
 
 type pair struct {
 	client, server net.Conn
-	silenced       bool // swallow everything from now on
+	silenced       silence // what is swallowed from now on
 }
 
 // New returns a link on a loopback port to the target.
@@ -97,11 +97,25 @@
 
 // Silence makes the open connections swallow everything for good, while new
 // ones work.
-func (l *Link) Silence() {
+func (l *Link) Silence() { l.silence(silence{up: true, down: true}) }
+
+// SilenceOneWay does the same towards the client or towards the target only.
+func (l *Link) SilenceOneWay(towardsClient bool) {
+	l.silence(silence{up: !towardsClient, down: towardsClient})
+}
+
+// silence tells which ways are silent: up is towards the target.
+type silence struct{ up, down bool }
+
+func (s silence) holds(towardsClient bool) bool {
+	return towardsClient && s.down || !towardsClient && s.up
+}
+
+func (l *Link) silence(s silence) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.conns {
-		p.silenced = true
+		p.silenced = s
 	}
 }
 
@@ -173,10 +187,10 @@
 // connection goes on.
 func (l *Link) pass(p *pair, dst io.Writer, b []byte, towardsClient bool) bool {
 	l.mu.Lock()
-	for l.stalled && !p.silenced {
+	for l.stalled && !p.silenced.holds(towardsClient) {
 		l.changed.Wait()
 	}
-	delay, silenced := l.delay, p.silenced
+	delay, silenced := l.delay, p.silenced.holds(towardsClient)
 	cut := false
 	left := &l.cutUp
 	if towardsClient {
