--- a/internal/conf/table/table.go
+++ b/internal/conf/table/table.go
@@ -136,10 +136,13 @@
 	return Route{}, false
 }
 
-// Service returns a service by its name.
-func (t *Table) Service(name string) (Service, bool) {
-	s, ok := t.services[name]
-	return s, ok
+// Service returns a service by its name. One that the version does not describe
+// is plain and has no limits.
+func (t *Table) Service(name string) Service {
+	if s, ok := t.services[name]; ok {
+		return s
+	}
+	return Service{Name: name}
 }
 
 // Workspace returns the holder of a key.
