Moves fill an engine by estimate, and do not overfill it

Generations that must move were placed up to 1.15 of an engine's memory by estimate; they are admitted first, and what runs there is preempted when it grows. Change: up to 1.0. Two rows of TestPlacement, of which the second fails without it.

--- a/internal/router/book/book_test.go
+++ b/internal/router/book/book_test.go
@@ -85,6 +85,12 @@
 			Need{Service: "s", Tokens: 1, Memory: memory, Purpose: PurposeMove, From: engine("from", "a1")},
 			"",
 		},
+		{"a move fills the memory", []endpt.Endpoint{engine("same", "a1")}, func(b *Book) {
+			b.SetPeerLoad(time.Now(), "p", map[string]Load{"same": {Calls: 1, Tokens: 9000}})
+		}, Need{Service: "s", Tokens: 1000, Memory: memory, Purpose: PurposeMove, From: engine("from", "a1")}, "same"},
+		{"a move does not overfill it", []endpt.Endpoint{engine("same", "a1")}, func(b *Book) {
+			b.SetPeerLoad(time.Now(), "p", map[string]Load{"same": {Calls: 1, Tokens: 9000}})
+		}, Need{Service: "s", Tokens: 1001, Memory: memory, Purpose: PurposeMove, From: engine("from", "a1")}, ""},
 		{
 			"a move prefers the data centre",
 			[]endpt.Endpoint{engine("n", "a2"), engine("same", "a1")},
--- a/internal/router/book/choose.go
+++ b/internal/router/book/choose.go
@@ -11,9 +11,9 @@
 	// memoryShare is the part of an engine's memory that placed calls may fill.
 	// The rest covers outputs that grow longer than estimated.
 	memoryShare = 0.92
-	// moveShare is the same for generations that would be lost where they are. The
-	// engine itself refuses one that it has no room for.
-	moveShare = 1.15
+	// moveShare is the same for generations that would be lost where they are. Above
+	// it engines preempt what they run, and read its prompts again.
+	moveShare = 1.0
 	// plainQueue is how many calls for each slot of a plain endpoint may be placed.
 	plainQueue = 2.0
 
