--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mimosalock/mimosalock/internal/call/desc"
 	"github.com/mimosalock/mimosalock/internal/router/book"
 )
@@ -90,6 +92,8 @@
 	go func() {
 		if !r.spend(ctx) {
 			at.Release(time.Now(), outcomeNone)
+			r.s.Log.Info("repeat_denied", zap.String("id", r.in.Call.ID), zap.String("service", r.in.Call.Service),
+				zap.String("why", "no repeat is left to go on at "+at.Endpoint.ID))
 			r.next <- opened{refused: ReasonBusy}
 			return
 		}
