A link of the soak that was silenced stays silent

The stand-in's second order replaced the first one, so that the way towards the caller spoke again and had swallowed six events, each a whole chunk. No entry lost them. Change: a way that is silent stays so (TestSilenceStays, fails without it).

--- a/internal/stand/cutter/cutter.go
+++ b/internal/stand/cutter/cutter.go
@@ -114,8 +114,8 @@
 func (l *Link) silence(s silence) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for p := range l.conns {
-		p.silenced = s
+	for p := range l.conns { // a way that is silent stays so
+		p.silenced = silence{up: p.silenced.up || s.up, down: p.silenced.down || s.down}
 	}
 }
 
