--- a/internal/agent/models/models.go
+++ b/internal/agent/models/models.go
@@ -30,6 +30,7 @@
 	lastFence   uint64 // of the last order that this process sent, or read at first
 	initialized bool   // the engine's order was read once
 	superseded  bool   // a newer agent process has sent orders, so this one sends none
+	known       bool   // current holds the order that the engine reported since it last started
 	current     Order  // the engine's order as last read
 	readAt      time.Time
 	notBefore   time.Time // no order before this time, zero if none is due
@@ -50,9 +51,15 @@
 	if !c.initialized {
 		c.initialized, c.lastFence = true, o.Fence
 	}
-	c.current, c.readAt = o, now
+	c.current, c.readAt, c.known = o, now, true
 }
 
+// Known reports whether the engine's order was read since it last started.
+func (c *Controller) Known() bool { return c.known }
+
+// Forget discards the engine's order as last read, because the engine restarted.
+func (c *Controller) Forget() { c.known, c.current = false, Order{} }
+
 // Superseded reports whether a newer agent process has sent orders.
 func (c *Controller) Superseded() bool { return c.superseded }
 
--- a/internal/agent/runner/health.go
+++ b/internal/agent/runner/health.go
@@ -88,6 +88,9 @@
 		return
 	}
 	restarted := r.health.bootID != 0 && bootID != r.health.bootID
+	if restarted {
+		r.modelOrders.Forget()
+	}
 	reachableAgain := !r.health.up && r.health.failures > 0
 	if restarted || reachableAgain {
 		r.admission.ResetLimit()
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -132,6 +132,8 @@
 		return "agent was paused"
 	case !r.health.up:
 		return "endpoint unreachable"
+	case r.service.Kind == spec.KindModel && !r.modelOrders.Known():
+		return "the engine has not reported its models yet"
 	}
 	return ""
 }
--- a/internal/router/sched/choose.go
+++ b/internal/router/sched/choose.go
@@ -92,6 +92,7 @@
 	if req.Purpose == PurposeMove {
 		load.PrefillTokens, load.IncomingMoves = 0, 1
 	} else {
+		e.dropOldSends(now)
 		e.recentSends = append(e.recentSends, now)
 	}
 	e.local = e.local.plus(load)
@@ -141,11 +142,7 @@
 // within its part of the cold limit. The limit is always applied, since an
 // endpoint may become cold without warning.
 func (s *Scheduler) withinColdLimit(now time.Time, e *endpointState, perSecond float64) bool {
-	firstRecent := slices.IndexFunc(e.recentSends, func(t time.Time) bool { return now.Sub(t) < coldWindow })
-	if firstRecent < 0 {
-		firstRecent = len(e.recentSends)
-	}
-	e.recentSends = slices.Delete(e.recentSends, 0, firstRecent)
+	e.dropOldSends(now)
 	limit := perSecond / float64(s.cfg.Processes())
 	if limit >= 1 {
 		return len(e.recentSends) < int(limit)
@@ -153,6 +150,15 @@
 	return len(e.recentSends) < 1 && s.selectedByHash(e.endpoint.ID, limit)
 }
 
+// dropOldSends removes the send times older than coldWindow.
+func (e *endpointState) dropOldSends(now time.Time) {
+	firstRecent := slices.IndexFunc(e.recentSends, func(t time.Time) bool { return now.Sub(t) < coldWindow })
+	if firstRecent < 0 {
+		firstRecent = len(e.recentSends)
+	}
+	e.recentSends = slices.Delete(e.recentSends, 0, firstRecent)
+}
+
 // selectedByHash reports whether this process is one of those that may send to the
 // endpoint when the cold limit allows fewer calls per second than there are
 // processes. limit is the part of one call per second that this process may send. A
--- a/internal/router/sched/known_red_test.go
+++ b/internal/router/sched/cold_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,9 +9,6 @@
 // The times of earlier sends must not accumulate for a service without a limit on
 // calls to cold endpoints.
 func TestSendTimesAreDropped(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("known red, entry 8 of KNOWN-RED.txt")
-	}
 	synctest.Test(t, func(t *testing.T) {
 		s := newScheduler(1)
 		s.Put(time.Now(), engine("e", "a1"))
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -76,7 +76,7 @@
 	leavingRevision uint64    // registry revision that reported it as leaving
 	graceUntil      time.Time // not listed by the registry but usable until then; zero if listed
 	removed         bool
-	recentSends     []time.Time // send times; those older than coldWindow are removed by withinColdLimit
+	recentSends     []time.Time // send times; those older than coldWindow are dropped with the next send
 	failures        int         // consecutive failures to reach it
 	suspectUntil    time.Time   // used until then only if there is no alternative
 	failureRate     float64     // moving average of failed calls, 0 to 1
--- a/internal/router/serve/known_red_test.go
+++ b/internal/router/serve/handover_test.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,9 +15,6 @@
 // stream must resume from the copy, and must not count as complete while the second
 // source still sends events.
 func TestSecondHandoverFails(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("known red, entry 7 of KNOWN-RED.txt")
-	}
 	for _, test := range []struct {
 		name           string
 		moveErr        error
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -151,9 +151,12 @@
 	defer cancel()
 	s.Retries.RecordFirst(start, in.Call.Service)
 	var result Result
-	if in.Call.Kind.Streams() {
+	switch {
+	case doneReason(ctx) != ReasonNone:
+		result = Result{Outcome: callst.OutcomeNotRun, Reason: doneReason(ctx)}
+	case in.Call.Kind.Streams():
 		result = s.serveStream(ctx, in)
-	} else {
+	default:
 		result = s.serveUnary(ctx, in)
 	}
 	s.Metrics.Outcomes.WithLabelValues(string(result.Outcome)).Inc()
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -37,7 +37,7 @@
 	spareCopy     *remoteCopy   // the partial copy made before a move of the current source failed, nil if none
 	finalMoveSent atomic.Bool   // a final move was requested, which stops the current source
 	maybeStopped  bool          // a final move failed: the current source may have been stopped
-	sourceEnded   bool          // a source ended normally while a final move was in progress
+	sourceEnded   bool          // the last source ended normally while its final move was in progress
 	begun         bool          // the caller has received the beginning of a response
 	lastID        string        // of the last event sent to the caller
 	lastSeq       int64         // lastID as a number, -1 if it is not one
@@ -331,7 +331,7 @@
 	c.s.discardCopy(c.spareCopy)
 	c.source, c.movedCopy, c.spareCopy, c.failedTargets = src, nil, nil, nil
 	c.finalMoveSent.Store(false)
-	c.moveBegun, c.maybeStopped = false, false
+	c.moveBegun, c.maybeStopped, c.sourceEnded = false, false, false
 	c.holdMoves(minStay)
 	c.resetStallTimer()
 }
