--- a/internal/call/event/event.go
+++ b/internal/call/event/event.go
@@ -80,12 +80,13 @@
 }
 
 // eventEnd returns the length of the first event with its blank line, or 0 if
-// the event is not complete yet. It does not search the same bytes twice.
+// the event is not complete yet. Lines end with LF or CRLF, also mixed. It does not
+// search the same bytes twice.
 func (r *Reader) eventEnd() int {
 	b := r.buf[r.start:]
-	skip := max(0, r.scanned-len("\r\n\r\n"))
+	skip := max(0, r.scanned-len("\n\r\n"))
 	lf := bytes.Index(b[skip:], []byte("\n\n"))
-	crlf := bytes.Index(b[skip:], []byte("\r\n\r\n"))
+	crlf := bytes.Index(b[skip:], []byte("\n\r\n"))
 	switch {
 	case lf < 0 && crlf < 0:
 		r.scanned = len(b)
@@ -93,7 +94,7 @@
 	case crlf < 0 || (lf >= 0 && lf < crlf):
 		return skip + lf + len("\n\n")
 	}
-	return skip + crlf + len("\r\n\r\n")
+	return skip + crlf + len("\n\r\n")
 }
 
 // eventID returns the value of the first id field, or "".
--- a/internal/call/event/event_test.go
+++ b/internal/call/event/event_test.go
@@ -16,6 +16,7 @@
 	}{
 		{"whole events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, io.EOF},
 		{"carriage returns", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", []string{"1", "2"}, io.EOF},
+		{"mixed line ends", "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\nid: 3\n\n", []string{"1", "2", "3"}, io.EOF},
 		{"without id", "data: a\n\n", []string{""}, io.EOF},
 		{"unknown field first", "weight-versions: 3\nid: 7\ndata: a\n\n", []string{"7"}, io.EOF},
 		{"ends inside an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, io.ErrUnexpectedEOF},
--- a/internal/call/httpc/client.go
+++ b/internal/call/httpc/client.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,8 +33,9 @@
 	idleTimeoutShare      = 0.6
 	defaultReuseTime      = 2 * time.Second // for endpoints that announce no idle timeout
 	maxIdlePerAddress     = 32
-	maxStaleResponses     = 4       // responses to other requests that one exchange may skip
-	maxStaleResponseBytes = 1 << 20 // maximum read of the body of each skipped response
+	maxStaleResponses     = 4        // responses to other requests that one exchange may skip
+	maxStaleResponseBytes = 1 << 20  // of the body of a response to another request; after a longer one the connection is closed
+	maxHeadBytes          = 64 << 10 // of a response, including what was read ahead of its body
 )
 
 // Config holds the timeouts of a Pool.
@@ -88,10 +90,37 @@
 type conn struct {
 	net.Conn
 	addr       string
-	reader     *bufio.Reader
+	reader     *bufio.Reader // of headReader
+	head       *headReader
 	reuseUntil time.Time
 }
 
+// headReader reads from a connection, and bounds what is read while a response's head
+// is awaited: an endpoint may send lines without end.
+type headReader struct {
+	src     io.Reader
+	left    int // bytes until the limit
+	limited bool
+}
+
+var errHeadTooLarge = fmt.Errorf("the response's head is larger than %d bytes", maxHeadBytes)
+
+func (h *headReader) Read(b []byte) (int, error) {
+	if !h.limited {
+		return h.src.Read(b)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.src.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// limit starts the bound for one head, and unlimit ends it.
+func (h *headReader) limit()   { h.limited, h.left = true, maxHeadBytes }
+func (h *headReader) unlimit() { h.limited = false }
+
 // Do sends a request and waits for the response header. The connection is
 // closed when the context ends.
 func (p *Pool) Do(ctx context.Context, addr string, req Request) (*Response, error) {
@@ -130,7 +159,8 @@
 		return nil, false, err
 	}
 	p.setUserTimeout(raw)
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferBytes)}, true, nil
+	head := &headReader{src: raw}
+	return &conn{Conn: raw, addr: addr, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, true, nil
 }
 
 // setUserTimeout applies Config.UserTimeout to a connection.
@@ -217,7 +247,7 @@
 		}
 	}
 	for range maxStaleResponses {
-		resp, err := readHead(r.conn.reader, req.Method)
+		resp, err := r.conn.readHead(req.Method)
 		if err != nil {
 			return err
 		}
@@ -228,8 +258,11 @@
 		if resp.Close {
 			return errors.New("connection closed after a response to another request")
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleResponseBytes)); err != nil {
+		switch skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleResponseBytes+1)); {
+		case err != nil:
 			return err
+		case skipped > maxStaleResponseBytes:
+			return errors.New("a response to another request is too large to skip")
 		}
 	}
 	return errors.New("too many responses to other requests")
@@ -257,10 +290,12 @@
 }
 
 // readHead reads the header of the final response and skips interim (1xx)
-// responses.
-func readHead(in *bufio.Reader, method string) (*http.Response, error) {
+// responses. Together they are bounded.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.head.limit()
+	defer c.head.unlimit()
 	for {
-		resp, err := http.ReadResponse(in, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -270,6 +305,17 @@
 	}
 }
 
+// ReadAll reads the body of at most a number of bytes and closes the response. After a
+// larger one the connection is not used again.
+func (r *Response) ReadAll(most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(body)) > most {
+		body, err = nil, fmt.Errorf("the response's body is larger than %d bytes", most)
+	}
+	r.Close(err == nil)
+	return body, err
+}
+
 // Read reads the body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) { return r.body.Read(b) }
 
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/desc"
 	"github.com/mimosalock/mimosalock/internal/call/httpc"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/conf/routes"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
@@ -228,7 +229,7 @@
 		h.scheduler.Put(time.Now(), endpt.Endpoint{ID: id, StartedMs: 1, Service: "s", Address: id + ":1", DataCentre: "a1", Region: "a", Slots: 4})
 	}
 	h.server = New(Deps{
-		Scheduler: h.scheduler, Upstream: h.fakeUpstream, Metrics: metric.New(), Log: zap.NewNop(),
+		Scheduler: h.scheduler, Upstream: h.fakeUpstream, Bodies: memlim.New(16 << 20), Metrics: metric.New(), Log: zap.NewNop(),
 		Retries: retry.New(retry.Config{RetryRatio: 0.2, Allowance: 20, Window: 10 * time.Second, Processes: oneProcess}),
 	})
 	return h
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/conf/routes"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
@@ -119,6 +120,7 @@
 	Scheduler *sched.Scheduler
 	Retries   *retry.Budget
 	Upstream  Upstream
+	Bodies    *memlim.Budget // memory for endpoints' responses that are read as a whole
 	Metrics   *metric.Set
 	Log       *zap.Logger
 }
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -57,7 +57,7 @@
 		return
 	}
 	var err error
-	a.body, err = readBody(a.response.Body)
+	a.body, err = s.readBody(a.response.Body)
 	if err != nil && a.verdict == verdictFailed && ctx.Err() == nil {
 		a.verdict, a.err = verdictLost, err
 	}
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -197,18 +196,17 @@
 		Call: in.Call, Body: in.Body, CallerRequest: in.CallerRequest, TimeLeft: in.Call.Remaining(time.Now()),
 	})
 	if a.err == nil {
-		a.body, a.err = readBody(a.response.Body)
+		a.body, a.err = s.readBody(a.response.Body)
 	}
 	a.verdict = classify(a.response, a.err)
 	lease.Release(time.Now(), a.leaseOutcome(ctx))
 	return a
 }
 
-func readBody(body Body) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxUnaryBytes+1))
-	if err == nil && len(data) > maxUnaryBytes {
-		err = errors.New("the response body is larger than 8 MiB")
-	}
+// readBody reads a body that is passed on as a whole.
+func (s *Server) readBody(body Body) ([]byte, error) {
+	data, release, err := s.Bodies.ReadAll(body, maxUnaryBytes)
+	release() // only bodies that are still being read count, since those may have no end
 	body.Close(err == nil)
 	return data, err
 }
