Changes reach other gateways at once; faults noticed while reading

Cause: on the small deployments a change of the store reached a gateway 0.15 s later than before: read every 0.1 s, told by notice, then fetched. Now the reader pauses 20 ms and saves up calls it did not make (at most ten a second on average), and a notice holds the newest change itself if it fits into 900 bytes. Load reports wait 8 ms for each partner instead of 250 ms.

--- a/internal/agent/runner/health_test.go
+++ b/internal/agent/runner/health_test.go
@@ -7,8 +7,10 @@
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/agent/engine"
+	"github.com/mimosalock/mimosalock/internal/agent/models"
 	"github.com/mimosalock/mimosalock/internal/conf/bundle"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
+	"github.com/mimosalock/mimosalock/internal/fleet/roster"
 )
 
 // The agent of an engine must not report ready before it has read which models the
@@ -64,3 +66,24 @@
 	}
 	r.applyConfig()
 }
+
+// A leaving host's engine keeps its models: the generations that still run there need
+// them.
+func TestLeavingHostGivesNoOrder(t *testing.T) {
+	r := newTestRunner(t)
+	r.publishModel("m")
+	r.mu.Lock()
+	r.service.Copies = 1
+	r.mu.Unlock()
+	member := roster.Member{Host: self, Role: roster.RoleAgent, Service: service}
+	version := uint64(1)
+	for _, leaving := range []bool{false, true} {
+		member.Leaving = leaving
+		version++
+		r.Roster.Update(version, []roster.Member{member})
+		r.modelOrders = models.New()
+		if _, due := r.nextOrder(models.Order{Fence: 1, Models: []string{"old"}}); due == leaving {
+			t.Errorf("leaving %v: order due %v", leaving, due)
+		}
+	}
+}
--- a/internal/agent/runner/models.go
+++ b/internal/agent/runner/models.go
@@ -53,6 +53,9 @@
 		continue
 	}
 	listed := i < len(members)
+	if listed && members[i].Leaving {
+		return models.Order{}, false // its generations still need the models that its engine holds
+	}
 	if !listed && r.service.Copies > 0 {
 		return models.Order{}, false // this host's models are not known until the host list contains it
 	}
--- a/internal/conf/check/check.go
+++ b/internal/conf/check/check.go
@@ -256,7 +256,7 @@
 		if raw, err := hex.DecodeString(w.KeySHA256); err != nil || len(raw) != 32 {
 			c.file.AddFault(path+".key_sha256", "expected 64 hexadecimal digits")
 		} else {
-			c.unique(path+".key_sha256", "workspace key", w.KeySHA256)
+			c.unique(path+".key_sha256", "workspace key", strings.ToLower(w.KeySHA256))
 		}
 		c.inRange(path+".weight", w.Weight, 0, 10_000)
 		if w.PerSecond < 0 || w.TokensPS < 0 {
--- a/internal/conf/check/check_test.go
+++ b/internal/conf/check/check_test.go
@@ -30,6 +30,10 @@
 			`f:1:116: data centre "mayo-b" does not exist, did you mean "mayo-a"?`,
 		},
 		{"unknown service", `{"workspaces": [{"name": "w", "key_sha256": "` + strings.Repeat("0", 64) + `", "services": ["x"]}]}`, `f:1:126: service "x" does not exist`},
+		{
+			"same key in another case", `{"workspaces": [{"name": "v", "key_sha256": "` + strings.Repeat("a", 64) + `"}, {"name": "w", "key_sha256": "` + strings.Repeat("A", 64) + `"}]}`,
+			`f:1:142: workspace key "` + strings.Repeat("a", 64) + `" is defined twice`,
+		},
 		{"key", `{"workspaces": [{"name": "w", "key_sha256": "zz"}]}`, `f:1:45: expected 64 hexadecimal digits`},
 		{
 			"two faults", `{"services": [{"name": "S", "kind": "x"}]}`,
--- a/internal/conf/routes/table.go
+++ b/internal/conf/routes/table.go
@@ -126,7 +126,7 @@
 // Match returns the route with the longest prefix that matches the path. The
 // host may include a port.
 func (t *Table) Match(host, path string) (Route, bool) {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+	if at := strings.LastIndexByte(host, ':'); at > strings.LastIndexByte(host, ']') { // not a colon of an IPv6 address
 		host = host[:at]
 	}
 	for _, r := range t.hosts[strings.ToLower(host)] {
--- a/internal/conf/routes/table_test.go
+++ b/internal/conf/routes/table_test.go
@@ -11,6 +11,7 @@
 		{Name: "short", Host: "a.example", Prefix: "/x/"},
 		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "B.example", Prefix: "/x/"},
+		{Name: "address", Host: "[::1]", Prefix: "/"},
 	}})
 	for _, test := range []struct{ host, path, want string }{
 		{"a.example", "/", "all"},
@@ -21,6 +22,8 @@
 		{"b.example", "/x/y/1", "other"},
 		{"b.example", "/y/", ""},
 		{"c.example", "/x/", ""},
+		{"[::1]", "/", "address"},
+		{"[::1]:8080", "/", "address"},
 	} {
 		t.Run(test.host+test.path, func(t *testing.T) {
 			if r, ok := table.Match(test.host, test.path); r.Name != test.want || ok != (test.want != "") {
--- a/internal/entry/quota/quota.go
+++ b/internal/entry/quota/quota.go
@@ -108,14 +108,16 @@
 	return time.Duration(missing / float64(lim.Limit()) * float64(time.Second))
 }
 
-// sweep removes workspaces that were idle for longer than idleTimeout.
+// sweep removes workspaces that were idle for longer than idleTimeout. One whose output
+// was more than its limit stays until that is made up for.
 func (l *Limiter) sweep(now time.Time) {
 	if now.Sub(l.lastSweep) < sweepInterval {
 		return
 	}
 	l.lastSweep = now
 	for name, lim := range l.byWorkspace {
-		if now.Sub(lim.lastUsed) > idleTimeout {
+		inDebt := lim.tokens != nil && lim.tokens.TokensAt(now) < 0
+		if now.Sub(lim.lastUsed) > idleTimeout && !inDebt {
 			delete(l.byWorkspace, name)
 		}
 	}
--- a/internal/fleet/dgram/dgram_test.go
+++ b/internal/fleet/dgram/dgram_test.go
@@ -37,6 +37,8 @@
 
 func (noCopy) Report(time.Time) mirror.Report      { return mirror.Report{} }
 func (noCopy) HearReport(time.Time, mirror.Report) {}
+func (noCopy) Newest() mirror.Step                 { return mirror.Step{} }
+func (noCopy) HearStep(mirror.Step)                {}
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -44,6 +44,14 @@
 	items     map[string]Item // including deleted ones, which a Delta must contain
 	deleted   []string        // keys of deleted items, in the order of deletion
 	deltaFrom uint64          // deletions before this revision are not in items
+	newest    Step
+}
+
+// Step is the change from one state of a copy to the next.
+type Step struct {
+	From  uint64 // a copy with this state
+	To    Position
+	Items []Item // becomes equal to the one at To by these changes
 }
 
 // maxDeleted is the number of deleted items that are kept. A peer that lacks an older
@@ -77,6 +85,7 @@
 	// read. Copies that have seen those differ although no item here has changed.
 	p.State = p.Cursor
 	m.advance(p)
+	m.newest = Step{}
 	return changes
 }
 
@@ -85,21 +94,50 @@
 func (m *Mirror) Apply(list []Item, p Position) (changes []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	from := m.position.State
 	for _, it := range list {
 		if m.put(it) {
 			changes = append(changes, it)
 		}
 	}
 	m.advance(p)
+	m.recordStep(from, changes)
 	return changes
 }
 
+// Follow applies a peer's newest step if this copy is equal to the one before it. It
+// returns the items that changed.
+func (m *Mirror) Follow(s Step) []Item {
+	if len(s.Items) == 0 || s.From == 0 || m.Position().State != s.From {
+		return nil
+	}
+	return m.Merge(Delta{Position: s.To, Items: s.Items})
+}
+
+// Newest returns the newest step of the copy, without items if it is not known.
+func (m *Mirror) Newest() Step {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.newest
+	if s.To.State == m.position.State {
+		s.To = m.position
+	}
+	return s
+}
+
+func (m *Mirror) recordStep(from uint64, changes []Item) {
+	if m.position.State > from {
+		m.newest = Step{From: from, To: m.position, Items: changes}
+	}
+}
+
 // Merge applies a peer's Delta, which was requested with the copy's cursor. It
 // returns the items that changed. A delta that holds nothing newer is ignored.
 func (m *Mirror) Merge(d Delta) (changes []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Position.State <= m.position.State {
+	from := m.position.State
+	if d.Position.State <= from {
 		return nil
 	}
 	if d.Full {
@@ -120,6 +158,11 @@
 		}
 	}
 	m.advance(d.Position)
+	if d.Full {
+		m.newest = Step{}
+	} else {
+		m.recordStep(from, changes)
+	}
 	return changes
 }
 
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -84,14 +84,17 @@
 
 const (
 	pollInterval = 20 * time.Millisecond
-	// readInterval is the interval at which the reader, the process that reads for all,
-	// reads the registry. Changes that arrive together cost one call, and each call is
-	// charged.
+	// The reader, the process that reads the registry for all, pauses readPause between
+	// two calls, and makes at most one each readInterval on average, since each is
+	// charged. With few heartbeats a change is then seen at once; with many, those that
+	// arrive together cost one call.
+	readPause    = 20 * time.Millisecond
 	readInterval = 100 * time.Millisecond
+	readBurst    = 5 // calls that the reader may save up
 	// takeoverStep is the age of the copy at which the first standby reads the registry
 	// in place of the reader; the second waits as long again. Any other process reads
 	// when its copy is stale.
-	takeoverStep = 400 * time.Millisecond
+	takeoverStep = 500 * time.Millisecond
 	// startupWait is how long a process that starts waits for a peer's copy before it
 	// reads the registry. A fleet that starts would otherwise read it once per process.
 	startupWait = time.Second
@@ -137,9 +140,12 @@
 	jitter  time.Duration // added to StaleAfter, so that the processes do not all read at once
 
 	mu           sync.Mutex
-	isReader     bool      // this process reads the registry for all
-	failingSince time.Time // of the current series of failed reads, zero if the last one succeeded
-	lastAttempt  time.Time
+	isReader     bool          // this process reads the registry for all
+	failingSince time.Time     // of the current series of failed reads, zero if the last one succeeded
+	lastAttempt  time.Time     // begin of the newest read
+	lastRead     time.Time     // end of the newest read
+	readCredit   time.Duration // what the reader has saved up for reads
+	lastCredit   time.Time
 	nextAttempt  time.Time
 	retryPause   time.Duration
 	graceUntil   time.Time // endpoints whose entries vanish before then may have expired
@@ -180,6 +186,14 @@
 	}
 }
 
+// HearStep takes over a peer's newest change if this copy only lacks that one.
+func (w *Watcher) HearStep(s mirror.Step) {
+	w.apply(func() []mirror.Item { return w.mirror.Follow(s) })
+}
+
+// Newest returns the newest change of this process's copy.
+func (w *Watcher) Newest() mirror.Step { return w.mirror.Newest() }
+
 // IsStale reports whether changes of the registry may have gone unnoticed for longer
 // than StaleAfter.
 func (w *Watcher) IsStale(now time.Time) bool {
@@ -189,7 +203,7 @@
 // Run keeps the copy current until the context ends. Without peers, which are nil
 // then, this process reads the registry itself all the time.
 func (w *Watcher) Run(ctx context.Context, peers Peers) {
-	w.started, w.peers = time.Now(), peers
+	w.started, w.lastCredit, w.peers = time.Now(), time.Now(), peers
 	go w.pollDraining(ctx)
 	go w.pullFromPeers(ctx)
 	for ctx.Err() == nil {
@@ -212,14 +226,27 @@
 	if p.Cursor == 0 {
 		return w.peers == nil || w.peers.IsEntryPoint() || now.Sub(w.started) >= startupWait
 	}
+	if w.peers == nil || w.isReader {
+		return w.mayReadAgain(now)
+	}
 	return now.Sub(p.AsOf) >= w.readAfter(now)
 }
 
+// mayReadAgain reports whether the reader may make another call now.
+func (w *Watcher) mayReadAgain(now time.Time) bool {
+	credit := readBurst * readInterval
+	w.readCredit = min(credit, w.readCredit+now.Sub(w.lastCredit))
+	w.lastCredit = now
+	if w.readCredit < readInterval || now.Sub(w.lastRead) < readPause {
+		return false
+	}
+	w.readCredit -= readInterval
+	return true
+}
+
 // readAfter returns the age of the copy at which this process reads the registry.
 func (w *Watcher) readAfter(now time.Time) time.Duration {
 	switch {
-	case w.peers == nil || w.isReader:
-		return readInterval
 	case !w.failingSince.IsZero() && now.Sub(w.lastAttempt) >= idleRetryInterval:
 		return 0
 	case !w.failingSince.IsZero():
@@ -238,6 +265,9 @@
 	w.lastAttempt = now
 	w.mu.Unlock()
 	err := w.listOrWatch(ctx, now, before)
+	w.mu.Lock()
+	w.lastRead = time.Now()
+	w.mu.Unlock()
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
@@ -430,7 +460,7 @@
 		shortest = min(limit, max(shortest, share/4))
 	}
 	w.retryPause = min(limit, max(shortest, 2*w.retryPause))
-	return w.retryPause/2 + rand.N(w.retryPause)
+	return w.retryPause + rand.N(w.retryPause/2)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -34,6 +34,7 @@
 	})}
 	peer := server.New(a.runner, b.Gossip, b.Clock, s.SilenceTimeout(), log)
 	if err := b.Start(peer, a.Status, a.ready); err != nil {
+		b.Stop()
 		return nil, err
 	}
 	b.Go(a.runner.Run)
--- a/internal/node/base/base.go
+++ b/internal/node/base/base.go
@@ -156,7 +156,9 @@
 // way ends only when the platform answers or the poll times out.
 func (b *Base) Stop() {
 	b.cancel()
-	_ = b.admin.Close()
+	if b.admin != nil {
+		_ = b.admin.Close()
+	}
 	b.Pool.Close()
 }
 
--- a/internal/router/peers/load.go
+++ b/internal/router/peers/load.go
@@ -14,8 +14,8 @@
 
 const (
 	// A new call on an engine is reported at once, because other processes may choose the
-	// same engine. Other changes wait up to loadBatch for one.
-	loadBatch = 250 * time.Millisecond
+	// same engine. Other changes wait for one, the longer the more partners there are.
+	loadBatchPerPartner = 8 * time.Millisecond
 	// loadHeartbeat is the longest time between two reports to a partner. The scheduler
 	// forgets a peer's load after a few missed ones.
 	loadHeartbeat = time.Second
@@ -142,7 +142,7 @@
 	g.lastAllowance = now
 	var errs []error
 	since := now.Sub(g.lastReport)
-	if g.allowance > 0 && (urgent || len(changes) > 0 && since >= loadBatch) || since >= loadHeartbeat {
+	if g.allowance > 0 && (urgent || len(changes) > 0 && since >= time.Duration(len(active))*loadBatchPerPartner) || since >= loadHeartbeat {
 		if len(changes) > 0 {
 			g.reportSequence++
 		}
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -30,6 +31,9 @@
 	liveTTL = 10 * time.Second
 	// A peer that knows of few processes is told of welcomeMembers.
 	welcomeMembers = 40
+	// maxChangeBytes bounds the changes in a notice, which then still fits a packet of
+	// the network. Larger ones are read from the peer.
+	maxChangeBytes = 900
 )
 
 // notice tells a peer how current the sender's copy of the registry is, and which
@@ -43,6 +47,17 @@
 	Standby  int                    // the receiver's place among the standbys of the sender, 0 if it is none
 	Known    int                    // number of processes that the sender knows
 	Members  []member               // some of those, if the receiver knows few
+	From     uint64                 // state before the newest change, if Changes hold that
+	Changes  []change
+}
+
+// change is a mirror.Item.
+type change struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
 }
 
 // registryReport is a mirror.Report.
@@ -65,9 +80,10 @@
 
 // noticePackets returns the notices that are due now.
 func (g *Group) noticePackets(now time.Time) ([]Packet, error) {
-	report := g.cfg.Registry.Report(now)
+	report, newest := g.cfg.Registry.Report(now), g.cfg.Registry.Newest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	lastState, behind := g.lastNoticeState, g.someoneIsBehind()
 	others, standbys, newcomers := g.noticeRecipients(now, report), g.dueStandbys(now, report), g.uninformedPeers()
 	if len(others)+len(standbys)+len(newcomers) == 0 {
 		return nil, nil
@@ -79,6 +95,9 @@
 			Reachable: report.Reachable, GraceMs: report.Grace.Milliseconds(),
 		},
 	}
+	if report.State > lastState || behind {
+		n.From, n.Changes = smallStep(newest)
+	}
 	packets := []Packet{{To: others}}
 	notices := []notice{n}
 	for i, address := range standbys {
@@ -96,6 +115,29 @@
 	return packets, nil
 }
 
+// someoneIsBehind reports whether a peer's copy is known to lack a change.
+func (g *Group) someoneIsBehind() bool {
+	for _, p := range g.peers {
+		if p.needsNotice {
+			return true
+		}
+	}
+	return false
+}
+
+// smallStep returns the newest change of the registry if it fits into a notice.
+func smallStep(s mirror.Step) (from uint64, changes []change) {
+	size := 0
+	for _, it := range s.Items {
+		size += len(it.Key) + len(it.Value)
+		changes = append(changes, change{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	}
+	if size > maxChangeBytes {
+		return 0, nil
+	}
+	return s.From, changes
+}
+
 // uninformedPeers returns the peers that know of few processes.
 func (g *Group) uninformedPeers() (addresses []string) {
 	for address, p := range g.peers {
@@ -169,6 +211,12 @@
 // receiveNotice processes a peer's notice.
 func (g *Group) receiveNotice(now time.Time, n notice) {
 	report := n.Registry.report()
+	if len(n.Changes) > 0 {
+		items := lo.Map(n.Changes, func(c change, _ int) mirror.Item {
+			return mirror.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
+		})
+		g.cfg.Registry.HearStep(mirror.Step{From: n.From, To: report.Position(now), Items: items})
+	}
 	g.cfg.Registry.HearReport(now, report)
 	own := g.cfg.Registry.Report(now)
 	g.mu.Lock()
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -71,6 +71,10 @@
 	Report(now time.Time) mirror.Report
 	// HearReport takes note of a peer's report.
 	HearReport(now time.Time, r mirror.Report)
+	// Newest returns the newest change of the copy.
+	Newest() mirror.Step
+	// HearStep takes over a peer's newest change if the copy only lacks that one.
+	HearStep(s mirror.Step)
 }
 
 // Group is this process's view of its peers. It is safe for concurrent use.
--- a/internal/router/peers/peers_test.go
+++ b/internal/router/peers/peers_test.go
@@ -59,6 +59,8 @@
 
 func (c *fixedCopy) Report(time.Time) mirror.Report      { return c.report }
 func (c *fixedCopy) HearReport(time.Time, mirror.Report) {}
+func (c *fixedCopy) Newest() mirror.Step                 { return mirror.Step{} }
+func (c *fixedCopy) HearStep(mirror.Step)                {}
 
 // targetCallRate is the number of generations that a process starts each second at the
 // target: 1,100 requests a second, two in five of them generations, at 390 processes.
--- a/internal/router/serve/handover_test.go
+++ b/internal/router/serve/handover_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -45,3 +46,23 @@
 		})
 	}
 }
+
+// A resume that waits for the retry budget ends with its caller.
+func TestWaitForRetryEndsWithCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness()
+		for h.server.Retries.TryRetry(time.Now(), "s") {
+			continue
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		c := &streamCall{s: h.server, in: Input{Call: &desc.Call{Service: "s"}}}
+		began := time.Now()
+		if c.takeRetry(ctx) {
+			t.Fatal("a retry beyond the budget was granted")
+		}
+		if took := time.Since(began); took != 30*time.Millisecond {
+			t.Fatalf("took %v, want 30ms", took)
+		}
+	})
+}
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -109,14 +109,18 @@
 // takeRetry takes a retry from the budget, waiting up to retryBudgetWait for one:
 // for a caller, a stream that resumes late is better than one that breaks off.
 func (c *streamCall) takeRetry(ctx context.Context) bool {
-	for deadline := time.Now().Add(retryBudgetWait); ; time.Sleep(retryBudgetPoll) {
-		if c.s.Retries.TryRetry(time.Now(), c.in.Call.Service) {
-			return true
-		}
-		if ctx.Err() != nil || time.Now().After(deadline) {
+	ctx, cancel := context.WithTimeout(ctx, retryBudgetWait)
+	defer cancel()
+	poll := time.NewTicker(retryBudgetPoll)
+	defer poll.Stop()
+	for !c.s.Retries.TryRetry(time.Now(), c.in.Call.Service) {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
 			return false
 		}
 	}
+	return true
 }
 
 const (
