--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -194,12 +194,6 @@
 // Newest returns the newest change of this process's copy.
 func (w *Watcher) Newest() mirror.Step { return w.mirror.Newest() }
 
-// IsStale reports whether changes of the registry may have gone unnoticed for longer
-// than StaleAfter.
-func (w *Watcher) IsStale(now time.Time) bool {
-	return now.Sub(w.mirror.Position().AsOf) > w.StaleAfter
-}
-
 // Run keeps the copy current until the context ends. Without peers, which are nil
 // then, this process reads the registry itself all the time.
 func (w *Watcher) Run(ctx context.Context, peers Peers) {
