--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,10 @@
 # Development tasks.
-.PHONY: gateway demo test check proto fmt lint ci bench
+.PHONY: gateway demo test check proto fmt lint ci bench regress
+
+# Deployments of the regression runs, the newest ones first. BENCH names the users' bench
+# and SITES the folder of their site files.
+REGRESSION = large/corrib-grit-large further-grown/qarmi-visits-grown further/qarmi-visits \
+	grown/corrib-grit-grown grown/fernhollow-kits-grown
 
 demo: ## run a small fleet on loopback
 	go run ./cmd/mimosalock demo --calls 40 --seed 1
@@ -26,5 +31,8 @@
 bench: ## run all benchmarks
 	go test -run '^$$' -bench . -benchmem ./...
 
+regress: ## score the regression deployments: make regress BENCH=PATH SITES=DIR
+	for site in $(REGRESSION); do $(BENCH) score $(SITES)/$$site.toml --why "regression run" || exit 1; done
+
 ci: ## run the CI checks
 	.ci/run
