Regions of a small fleet know each other's load again

Cause: gossip used to carry a gateway's load to any other one, also in another region. Now all gateways of a fleet of up to twelve report to each other. TestLoadBetweenRegions fails on the code before.

--- a/internal/router/peers/cells.go
+++ b/internal/router/peers/cells.go
@@ -6,6 +6,10 @@
 	"github.com/mimosalock/mimosalock/internal/call/rank"
 )
 
+// maxSmallFleet is the number of processes up to which the regions of a fleet exchange
+// their loads too. With more, the reports within a region would be late.
+const maxSmallFleet = 12
+
 // maxCell is the number of processes up to which a region is one cell. In a cell every
 // process tells all others of its load, which takes most of the bytes that a process
 // may send to its peers.
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -216,21 +216,27 @@
 	}
 }
 
-// updatePartners computes the cells and the partners from the processes of the region.
+// updatePartners computes the cells and the partners. In a small fleet all processes are
+// partners, since its regions often take each other's calls.
 func (g *Group) updatePartners(now time.Time) {
 	if now.Sub(g.lastMembers) < partnerInterval {
 		return
 	}
 	g.lastMembers = now
-	count := 1
+	all, near := 1, 1
 	for _, p := range g.peers {
-		if p.region == g.cfg.Region && p.aliveWithin(now, memberTTL) {
-			count++
+		if !p.aliveWithin(now, memberTTL) {
+			continue
+		}
+		all++
+		if p.region == g.cfg.Region {
+			near++
 		}
 	}
-	g.cells.update(count)
+	isSmall := all <= maxSmallFleet
+	g.cells.update(near)
 	for address, p := range g.peers {
-		p.partner = p.region == g.cfg.Region && p.aliveWithin(now, memberTTL) && g.cells.includesProcess(address)
+		p.partner = p.aliveWithin(now, memberTTL) && (isSmall || p.region == g.cfg.Region && g.cells.includesProcess(address))
 	}
 }
 
--- a/internal/router/peers/peers_test.go
+++ b/internal/router/peers/peers_test.go
@@ -284,6 +284,39 @@
 	})
 }
 
+// In a small fleet the regions know each other's load, since they take each other's
+// calls. In a large one they do not exchange it.
+func TestLoadBetweenRegions(t *testing.T) {
+	for _, test := range []struct {
+		processes int
+		shared    bool
+	}{{4, true}, {12, true}, {30, false}} {
+		t.Run(fmt.Sprint(test.processes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetOf(test.processes, 1)
+				var first, far *sched.Scheduler
+				for address, g := range f.groups {
+					if address == "10.0.0.0:7200" {
+						first = f.schedulers[address]
+					} else {
+						g.cfg.Region = "b"
+						far = f.schedulers[address]
+					}
+				}
+				f.rounds(t, 4*time.Second)
+				if _, ok := first.TryPlace(time.Now(), sched.Request{Service: "s", MemoryTokens: 900, EngineTokens: 1000}); !ok {
+					t.Fatal("no room on an idle engine")
+				}
+				f.rounds(t, time.Second)
+				_, placed := far.TryPlace(time.Now(), sched.Request{Service: "s", MemoryTokens: 900, EngineTokens: 1000, Exclude: []string{"e"}})
+				if placed == test.shared {
+					t.Fatalf("another region placed a call on a full engine: %v, want %v", placed, !test.shared)
+				}
+			})
+		})
+	}
+}
+
 // Load reports hold only what changed, so a lost one must not leave a process with a
 // wrong view.
 func TestLostLoadReports(t *testing.T) {
