TestLoadBetweenRegions leaves one engine to choose

Cause: the fleet of the test has two engines, the first call chose one of them at random, and the second was only kept off one. Both calls now have the same single engine; 25 repetitions under the race detector pass. The code is as before, but for the name of a cache.

--- a/internal/router/peers/cells.go
+++ b/internal/router/peers/cells.go
@@ -22,7 +22,7 @@
 	address string // of this process
 	count   int
 	own     int
-	homes   map[string]bool // cache, by endpoint ID: whether the endpoint is in the own cell
+	inCell  map[string]bool // cache, by endpoint ID: whether the endpoint is in the own cell
 }
 
 // update sets the number of processes in the region.
@@ -31,7 +31,7 @@
 	if count == c.count {
 		return
 	}
-	c.count, c.homes = count, map[string]bool{}
+	c.count, c.inCell = count, map[string]bool{}
 	c.own = c.of(c.address)
 }
 
@@ -51,10 +51,10 @@
 	if c.count <= 1 {
 		return true
 	}
-	in, known := c.homes[id]
+	in, known := c.inCell[id]
 	if !known {
 		in = c.of(id) == c.own
-		c.homes[id] = in
+		c.inCell[id] = in
 	}
 	return in
 }
--- a/internal/router/peers/peers_test.go
+++ b/internal/router/peers/peers_test.go
@@ -304,11 +304,12 @@
 					}
 				}
 				f.rounds(t, 4*time.Second)
-				if _, ok := first.TryPlace(time.Now(), sched.Request{Service: "s", MemoryTokens: 900, EngineTokens: 1000}); !ok {
+				req := sched.Request{Service: "s", MemoryTokens: 900, EngineTokens: 1000, Exclude: []string{"e"}} // leaves one engine
+				if _, ok := first.TryPlace(time.Now(), req); !ok {
 					t.Fatal("no room on an idle engine")
 				}
 				f.rounds(t, time.Second)
-				_, placed := far.TryPlace(time.Now(), sched.Request{Service: "s", MemoryTokens: 900, EngineTokens: 1000, Exclude: []string{"e"}})
+				_, placed := far.TryPlace(time.Now(), req)
 				if placed == test.shared {
 					t.Fatalf("another region placed a call on a full engine: %v, want %v", placed, !test.shared)
 				}
