A reader that yields while it waits for the store does not read on

Two processes read for all then; no rule is touched, calls and log lines are wasted. Now a read during which the process yielded doesn't make it the reader. TestReaderYields fails on the code before.

--- a/internal/fleet/watch/registry_test.go
+++ b/internal/fleet/watch/registry_test.go
@@ -32,7 +32,8 @@
 	historyGone bool // Watch fails with ErrHistoryGone until the next List
 	peer        *mirror.Mirror
 	draining    bool
-	reads       int // calls of List and Watch
+	reads       int    // calls of List and Watch
+	onWatch     func() // called while a watch waits, may be nil
 }
 
 // update changes the fields under the lock.
@@ -72,6 +73,9 @@
 }
 
 func (r *fakeRegistry) Watch(ctx context.Context, after uint64) ([]mirror.Item, uint64, error) {
+	if r.onWatch != nil {
+		r.onWatch()
+	}
 	for range 10 {
 		items, revision, err := r.changes(after)
 		if err != nil || len(items) > 0 {
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -141,6 +141,7 @@
 
 	mu           sync.Mutex
 	isReader     bool          // this process reads the registry for all
+	yielded      bool          // it ceased to do so during the present read
 	failingSince time.Time     // of the current series of failed reads, zero if the last one succeeded
 	lastAttempt  time.Time     // begin of the newest read
 	lastRead     time.Time     // end of the newest read
@@ -181,7 +182,7 @@
 		w.graceUntil = now.Add(r.Grace)
 	}
 	if w.isReader && r.Reader < w.Address && r.State >= w.mirror.Position().State && r.Age < w.StaleAfter {
-		w.isReader = false
+		w.isReader, w.yielded = false, true
 		w.Log.Info("registry_reader_changed", zap.String("reader", r.Reader), zap.Duration("age", r.Age))
 	}
 }
@@ -256,7 +257,7 @@
 func (w *Watcher) readRegistry(ctx context.Context, now time.Time) {
 	before := w.mirror.Position()
 	w.mu.Lock()
-	w.lastAttempt = now
+	w.lastAttempt, w.yielded = now, false
 	w.mu.Unlock()
 	err := w.listOrWatch(ctx, now, before)
 	w.mu.Lock()
@@ -308,7 +309,7 @@
 func (w *Watcher) becomeReader(before mirror.Position) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isReader {
+	if w.isReader || w.yielded {
 		return
 	}
 	w.isReader = true
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -303,3 +304,29 @@
 		})
 	}
 }
+
+// A reader that hears of one before it in the order while it waits for the registry ceases
+// to read.
+func TestReaderYields(t *testing.T) {
+	var hearsOther atomic.Bool
+	prepare := func(b *fixture) Peers {
+		b.onWatch = func() {
+			if hearsOther.Load() {
+				p := b.Mirror().Position()
+				b.HearReport(time.Now(), mirror.Report{State: p.State, Cursor: p.Cursor, Reader: "before", Reachable: true})
+			}
+		}
+		return &fakePeers{count: 5, isEntryPoint: true}
+	}
+	withWatcher(t, prepare, func(b *fixture) {
+		hearsOther.Store(true)
+		time.Sleep(500 * time.Millisecond) // shorter than the copy needs to become stale
+		b.update(func(r *fakeRegistry) { r.reads = 0 })
+		time.Sleep(time.Second)
+		b.update(func(r *fakeRegistry) {
+			if r.reads > 0 {
+				t.Errorf("%d reads after another process read for all", r.reads)
+			}
+		})
+	})
+}
