--- a/internal/ops/metric/metric.go
+++ b/internal/ops/metric/metric.go
@@ -21,6 +21,7 @@
 	LogDropped       prometheus.Counter       // dropped log lines
 	EarlyBreaks      prometheus.Counter       // responses of engines that broke off after the head and before the first event
 	PromptsBlocked   prometheus.Counter       // calls that were not sent, as engines crash under their prompt
+	LimitedEndpoints prometheus.Gauge         // endpoints that name a limit on their requests
 
 	AdmissionDecisions *prometheus.CounterVec // decisions, by verdict
 	Refusals           *prometheus.CounterVec // of offers, by kind
@@ -49,6 +50,7 @@
 		LogDropped:         counter("log_lines_dropped_total", "Log lines left out by sampling or a slow reader."),
 		EarlyBreaks:        counter("early_breaks_total", "Responses that engines broke off before the first event."),
 		PromptsBlocked:     counter("prompts_blocked_total", "Calls not sent because engines crash under a part of their prompt."),
+		LimitedEndpoints:   gauge("limited_endpoints", "Endpoints that name a limit on their requests a second."),
 		AdmissionDecisions: counters("admission_total", "Admission decisions, by verdict.", "verdict"),
 		Refusals:           counters("refusals_total", "Refused offers, by kind.", "kind"),
 		RunsEnded:          counters("runs_ended_total", "Runs ended, by outcome.", "outcome"),
@@ -62,7 +64,7 @@
 	}
 	m.Registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.AdmissionDecisions, m.Refusals,
+		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.LimitedEndpoints, m.AdmissionDecisions, m.Refusals,
 		m.RunsEnded, m.RunsRunning, m.RunsWaiting, m.ConcurrencyLimit, m.BufferedBytes, m.FramesReceived, m.FirstToken, m.TokenGap,
 	)
 	return m
