Order copies of the registry by epoch before revision

What callers saw: after the store came back from a copy nine seconds old, changes that the operator confirmed were not in force at some gateways, and new routes got 404. Cause: revisions were compared across a point at which the registry gives them out again (class: a sequence number without the epoch it belongs to). A listing of the older copy was ignored as old; then a new change under a revision seen before was taken for the copy already held, by the copies, notices, deltas and steps alike.

A watch or listing whose answer names another epoch is repeated as a listing; answers of an earlier epoch are ignored. A gateway of the build before sends no epoch; its reports count as epoch 0.

Why it works: within an epoch numbers are given out once, and every comparison is now of pairs of epoch and number.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -2,11 +2,15 @@
 // copy comes from the registry itself or from peers that hold one. It does no I/O.
 //
 // Most changes of the registry only renew an entry. Copies skip those: two copies
-// with the same State are equal, so a process can tell from the numbers alone whether
+// with the same Version are equal, so a process can tell from the numbers alone whether
 // a peer's copy is newer than its own, and whether its own is still current.
+//
+// A registry may come back from an older copy. It then begins a new epoch, in which it
+// gives revisions out again: they can be compared only within one epoch.
 package mirror
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -20,14 +24,29 @@
 	Deleted  bool
 }
 
+// Version identifies the contents of a copy.
+type Version struct {
+	Epoch uint64 // rises each time the registry comes back from an older copy
+	State uint64 // as in Position
+}
+
+// Before reports whether a copy is older than another one.
+func (v Version) Before(o Version) bool {
+	return cmp.Or(cmp.Compare(v.Epoch, o.Epoch), cmp.Compare(v.State, o.State)) < 0
+}
+
 // Position tells how complete and how old a copy is.
 type Position struct {
+	Epoch  uint64    // of the registry; all revisions are of this epoch
 	State  uint64    // revision of the newest change in the copy, 0 if the copy is empty
 	Cursor uint64    // the copy contains all changes up to this revision; at least State
 	AsOf   time.Time // when the registry was last known to hold no newer change
 	Reader string    // address of the process that read the registry at AsOf
 }
 
+// Version returns the version of the copy.
+func (p Position) Version() Version { return Version{p.Epoch, p.State} }
+
 // Delta is what a copy lacks of another one.
 type Delta struct {
 	Position Position
@@ -47,7 +66,7 @@
 	newest    Step
 }
 
-// Step is the change from one state of a copy to the next.
+// Step is the change from one state of a copy to the next, in the same epoch.
 type Step struct {
 	From  uint64 // a copy with this state
 	To    Position
@@ -73,13 +92,14 @@
 
 // Replace applies a complete listing that was read from the registry and contains
 // all changes up to p.Cursor. It returns the items that changed. A listing older than
-// the copy is ignored.
+// the copy is ignored; one of a newer epoch never is.
 func (m *Mirror) Replace(list []Item, p Position) (changes []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p.Cursor < m.position.Cursor {
+	if p.Epoch < m.position.Epoch || p.Epoch == m.position.Epoch && p.Cursor < m.position.Cursor {
 		return nil
 	}
+	m.enter(p.Epoch)
 	changes = m.replaceItems(list, p.Cursor)
 	// A listing does not show items that were written and deleted again since the last
 	// read. Copies that have seen those differ although no item here has changed.
@@ -90,10 +110,14 @@
 }
 
 // Apply applies changes that were read from the registry, from the copy's cursor up
-// to p.Cursor. It returns those that are not renewals.
+// to p.Cursor. It returns those that are not renewals. Changes of another epoch than the
+// copy's are ignored.
 func (m *Mirror) Apply(list []Item, p Position) (changes []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if p.Epoch != m.position.Epoch {
+		return nil
+	}
 	from := m.position.State
 	for _, it := range list {
 		if m.put(it) {
@@ -108,7 +132,7 @@
 // Follow applies a peer's newest step if this copy is equal to the one before it. It
 // returns the items that changed.
 func (m *Mirror) Follow(s Step) []Item {
-	if len(s.Items) == 0 || s.From == 0 || m.Position().State != s.From {
+	if len(s.Items) == 0 || s.From == 0 || m.Position().Version() != (Version{s.To.Epoch, s.From}) {
 		return nil
 	}
 	return m.Merge(Delta{Position: s.To, Items: s.Items})
@@ -119,7 +143,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.newest
-	if s.To.State == m.position.State {
+	if s.To.Version() == m.position.Version() {
 		s.To = m.position
 	}
 	return s
@@ -131,15 +155,17 @@
 	}
 }
 
-// Merge applies a peer's Delta, which was requested with the copy's cursor. It
-// returns the items that changed. A delta that holds nothing newer is ignored.
+// Merge applies a peer's Delta, which was requested with the copy's position. It
+// returns the items that changed. A delta that holds nothing newer is ignored, and so is
+// an incomplete one of another epoch.
 func (m *Mirror) Merge(d Delta) (changes []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	from := m.position.State
-	if d.Position.State <= from {
+	if !m.position.Version().Before(d.Position.Version()) || d.Position.Epoch != m.position.Epoch && !d.Full {
 		return nil
 	}
+	m.enter(d.Position.Epoch)
+	from := m.position.State
 	if d.Full {
 		changes = m.replaceItems(d.Items, d.Position.Cursor)
 	} else {
@@ -171,16 +197,16 @@
 func (m *Mirror) Confirm(p Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p.State == m.position.State && p.State > 0 {
+	if p.Version() == m.position.Version() && p.State > 0 {
 		m.advance(p)
 	}
 }
 
-// Since returns what a copy with the given cursor lacks.
-func (m *Mirror) Since(cursor uint64) Delta {
+// Since returns what a copy with the given epoch and cursor lacks.
+func (m *Mirror) Since(epoch, cursor uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Position: m.position, Full: cursor < m.deltaFrom || cursor == 0}
+	d := Delta{Position: m.position, Full: epoch != m.position.Epoch || cursor < m.deltaFrom || cursor == 0}
 	for _, it := range m.items {
 		if d.Full && !it.Deleted || !d.Full && it.Revision > cursor {
 			d.Items = append(d.Items, it)
@@ -189,6 +215,24 @@
 	return d
 }
 
+// enter begins a new epoch: nothing is left of the positions of the one before. The items
+// stay until the listing that follows replaces them.
+func (m *Mirror) enter(epoch uint64) {
+	if epoch == m.position.Epoch {
+		return
+	}
+	m.position = Position{Epoch: epoch}
+	m.deltaFrom, m.deleted, m.newest = 0, nil, Step{}
+	for key, it := range m.items {
+		if it.Deleted {
+			delete(m.items, key)
+			continue
+		}
+		it.Revision = 0
+		m.items[key] = it
+	}
+}
+
 // replaceItems makes the copy equal to a complete listing. Peers with an older cursor
 // get the complete copy from now on.
 func (m *Mirror) replaceItems(list []Item, cursor uint64) (changes []Item) {
@@ -217,6 +261,9 @@
 	case it.Deleted && (!known || before.Deleted):
 		return false
 	case known && !it.Deleted && !before.Deleted && m.isRenewal(before, it):
+		if before.Revision == 0 { // of an earlier epoch
+			m.items[it.Key] = it
+		}
 		return false
 	}
 	m.items[it.Key] = it
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 // registry is a registry whose values are "state beat"; a change of the beat alone
 // is a renewal.
 type registry struct {
+	epoch    uint64
 	revision uint64
 	items    map[string]Item
 	history  []Item
@@ -31,6 +32,15 @@
 func (r *registry) put(key, value string) { r.write(Item{Key: key, Value: []byte(value)}) }
 func (r *registry) remove(key string)     { r.write(Item{Key: key, Deleted: true}) }
 
+// rewind brings the registry back as it was at a revision.
+func (r *registry) rewind(revision uint64) {
+	history := r.history[:revision]
+	*r = registry{epoch: r.epoch + 1, items: map[string]Item{}}
+	for _, it := range history {
+		r.write(it)
+	}
+}
+
 func (r *registry) list() (out []Item) {
 	for _, it := range r.items {
 		out = append(out, it)
@@ -40,13 +50,13 @@
 
 // readBy makes a copy read the registry, as a listing if it is empty.
 func (r *registry) readBy(m *Mirror, now time.Time) {
-	p := Position{Cursor: r.revision, AsOf: now, Reader: "r"}
-	cursor := m.Position().Cursor
-	if cursor == 0 {
+	p := Position{Epoch: r.epoch, Cursor: r.revision, AsOf: now, Reader: "r"}
+	own := m.Position()
+	if own.Cursor == 0 || own.Epoch != r.epoch {
 		m.Replace(r.list(), p)
 		return
 	}
-	m.Apply(r.history[cursor:], p)
+	m.Apply(r.history[own.Cursor:], p)
 }
 
 func newMirror() *Mirror {
@@ -61,7 +71,7 @@
 
 // content returns the items that are not deleted, without their renewals.
 func content(m *Mirror) (out []string) {
-	for _, it := range m.Since(0).Items {
+	for _, it := range m.Since(m.Position().Epoch, 0).Items {
 		out = append(out, it.Key+"="+state(it))
 	}
 	slices.Sort(out)
@@ -119,14 +129,14 @@
 	r.put("a", "ready 1")
 	r.put("b", "ready 1")
 	r.readBy(first, time.Now())
-	second.Merge(first.Since(0))
+	second.Merge(first.Since(0, 0))
 	r.remove("a")
 	for i := range 2 * maxDeleted {
 		r.put(fmt.Sprint(i), "ready 1")
 		r.remove(fmt.Sprint(i))
 	}
 	r.readBy(first, time.Now())
-	delta := first.Since(second.Position().Cursor)
+	delta := first.Since(0, second.Position().Cursor)
 	if !delta.Full {
 		t.Fatal("the delta is not complete although it lacks a deletion")
 	}
@@ -155,11 +165,13 @@
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		r := newRegistry()
+		epochs := map[uint64]*registry{0: r} // the registry at the end of each epoch
 		copies := []*Mirror{newMirror(), newMirror(), newMirror(), newMirror()}
-		for range 120 {
+		var delayed []func()
+		for range 160 {
 			m := copies[rng.IntN(len(copies))]
 			other := copies[rng.IntN(len(copies))]
-			switch key := fmt.Sprint(rng.IntN(4)); rng.IntN(10) {
+			switch key := fmt.Sprint(rng.IntN(4)); rng.IntN(12) {
 			case 0, 1:
 				r.put(key, fmt.Sprintf("ready %d", rng.IntN(100)))
 			case 2:
@@ -171,16 +183,34 @@
 			case 5, 6:
 				m.Confirm(other.Position())
 			case 7:
-				m.Merge(other.Since(m.Position().Cursor))
+				p := m.Position()
+				m.Merge(other.Since(p.Epoch, p.Cursor))
 			case 9:
 				m.Follow(other.Newest())
 			case 8: // the registry has forgotten its history
 				if r.revision > 0 {
-					m.Replace(r.list(), Position{Cursor: r.revision, AsOf: time.Now()})
+					m.Replace(r.list(), Position{Epoch: r.epoch, Cursor: r.revision, AsOf: time.Now()})
+				}
+			case 10: // an answer or a delta that was long under way
+				list, late, d := r.list(), Position{Epoch: r.epoch, Cursor: r.revision, AsOf: time.Now()}, other.Since(m.Position().Epoch, m.Position().Cursor)
+				if r.revision > 0 {
+					delayed = append(delayed, func() { m.Replace(list, late) }, func() { m.Merge(d) })
+				}
+				if len(delayed) > 0 {
+					i := rng.IntN(len(delayed))
+					delayed[i]()
+					delayed = slices.Delete(delayed, i, i+1)
+				}
+			case 11: // it comes back from an older copy
+				if rng.IntN(4) == 0 && r.revision > 0 {
+					old := *r
+					epochs[r.epoch] = &old
+					r.rewind(uint64(rng.IntN(int(min(r.revision, 6)))) + r.revision - min(r.revision, 6) + 1)
+					epochs[r.epoch] = r
 				}
 			}
 			for _, c := range copies {
-				expectComplete(t, seed, r, c)
+				expectComplete(t, seed, epochs[c.Position().Epoch], c)
 			}
 		}
 	}
--- a/internal/fleet/mirror/report.go
+++ b/internal/fleet/mirror/report.go
@@ -4,6 +4,7 @@
 
 // Report is what a process tells its peers about its copy.
 type Report struct {
+	Epoch     uint64        // as in Position
 	State     uint64        // as in Position
 	Cursor    uint64        // as in Position
 	Age       time.Duration // time since Position.AsOf
@@ -14,5 +15,8 @@
 
 // Position returns the reported position as of now.
 func (r Report) Position(now time.Time) Position {
-	return Position{State: r.State, Cursor: r.Cursor, AsOf: now.Add(-r.Age), Reader: r.Reader}
+	return Position{Epoch: r.Epoch, State: r.State, Cursor: r.Cursor, AsOf: now.Add(-r.Age), Reader: r.Reader}
 }
+
+// Version returns the version of the reported copy.
+func (r Report) Version() Version { return Version{r.Epoch, r.State} }
--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -77,32 +77,32 @@
 	if before.Cursor == 0 {
 		return w.list(ctx, now)
 	}
-	items, cursor, err := w.Source.Watch(ctx, before.Cursor)
-	if errors.Is(err, ErrHistoryGone) {
-		w.Log.Info("registry_history_gone", zap.Uint64("revision", before.Cursor))
+	items, cursor, err := w.Source.Watch(ctx, before.Epoch, before.Cursor)
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrEpochChanged) {
+		w.Log.Info("registry_history_gone", zap.Uint64("epoch", before.Epoch), zap.Uint64("revision", before.Cursor), zap.Error(err))
 		return w.list(ctx, now)
 	}
 	if err != nil {
 		return err
 	}
 	w.recordSuccess(now, before)
-	w.apply(func() []mirror.Item { return w.mirror.Apply(items, w.positionAt(cursor, now)) })
+	w.apply(func() []mirror.Item { return w.mirror.Apply(items, w.positionAt(before.Epoch, cursor, now)) })
 	return nil
 }
 
 func (w *Watcher) list(ctx context.Context, now time.Time) error {
-	items, cursor, err := w.Source.List(ctx)
+	items, epoch, cursor, err := w.Source.List(ctx)
 	if err != nil {
 		return err
 	}
 	w.recordSuccess(now, w.mirror.Position())
-	w.apply(func() []mirror.Item { return w.mirror.Replace(items, w.positionAt(cursor, now)) })
+	w.apply(func() []mirror.Item { return w.mirror.Replace(items, w.positionAt(epoch, cursor, now)) })
 	return nil
 }
 
 // positionAt is the position after a read that began at a time.
-func (w *Watcher) positionAt(cursor uint64, began time.Time) mirror.Position {
-	return mirror.Position{Cursor: cursor, AsOf: began, Reader: w.Address}
+func (w *Watcher) positionAt(epoch, cursor uint64, began time.Time) mirror.Position {
+	return mirror.Position{Epoch: epoch, Cursor: cursor, AsOf: began, Reader: w.Address}
 }
 
 // becomeReader makes this process read for all, until a peer that comes before it in
--- a/internal/fleet/watch/registry_test.go
+++ b/internal/fleet/watch/registry_test.go
@@ -26,6 +26,7 @@
 // fakeRegistry is a Source. It holds one registry and one peer's copy of it.
 type fakeRegistry struct {
 	mu          sync.Mutex
+	epoch       uint64
 	items       map[string]mirror.Item
 	history     []mirror.Item
 	unavailable bool
@@ -57,27 +58,42 @@
 	})
 }
 
-func (r *fakeRegistry) List(context.Context) ([]mirror.Item, uint64, error) {
+// rewind brings the registry back as it was before its newest changes.
+func (r *fakeRegistry) rewind(lost int) {
+	r.update(func(r *fakeRegistry) {
+		r.epoch++
+		r.history = r.history[:len(r.history)-lost]
+		r.items = map[string]mirror.Item{}
+		for _, it := range r.history {
+			delete(r.items, it.Key)
+			if !it.Deleted {
+				r.items[it.Key] = it
+			}
+		}
+	})
+}
+
+func (r *fakeRegistry) List(context.Context) ([]mirror.Item, uint64, uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads++
 	if r.unavailable {
-		return nil, 0, errUnavailable
+		return nil, 0, 0, errUnavailable
 	}
 	r.historyGone = false
 	var list []mirror.Item
 	for _, it := range r.items {
 		list = append(list, it)
 	}
-	return list, r.revision(), nil
+	return list, r.epoch, r.revision(), nil
 }
 
-func (r *fakeRegistry) Watch(ctx context.Context, after uint64) ([]mirror.Item, uint64, error) {
+func (r *fakeRegistry) Watch(ctx context.Context, epoch, after uint64) ([]mirror.Item, uint64, error) {
 	if r.onWatch != nil {
 		r.onWatch()
 	}
 	for range 10 {
-		items, revision, err := r.changes(after)
+		items, revision, err := r.changes(epoch, after)
 		if err != nil || len(items) > 0 {
 			return items, revision, err
 		}
@@ -90,7 +106,7 @@
 	return nil, after, nil
 }
 
-func (r *fakeRegistry) changes(after uint64) ([]mirror.Item, uint64, error) {
+func (r *fakeRegistry) changes(epoch, after uint64) ([]mirror.Item, uint64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads++
@@ -99,14 +115,16 @@
 		return nil, 0, errUnavailable
 	case r.historyGone:
 		return nil, 0, ErrHistoryGone
+	case epoch != r.epoch:
+		return nil, 0, ErrEpochChanged
 	}
 	return r.history[after:], r.revision(), nil
 }
 
-func (r *fakeRegistry) FromPeer(_ context.Context, _ string, cursor uint64) (mirror.Delta, error) {
+func (r *fakeRegistry) FromPeer(_ context.Context, _ string, epoch, cursor uint64) (mirror.Delta, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.peer.Since(cursor), nil
+	return r.peer.Since(epoch, cursor), nil
 }
 
 func (r *fakeRegistry) IsDraining(context.Context, endpt.Endpoint) (draining bool, err error) {
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -22,19 +22,24 @@
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
-// ErrHistoryGone is returned by Source.Watch if the registry no longer keeps the
-// changes since the requested revision. The caller has to list again.
-var ErrHistoryGone = errors.New("registry history does not reach back to the requested revision")
+// Errors returned by Source. After either one the caller has to list again.
+var (
+	ErrHistoryGone  = errors.New("registry history does not reach back to the requested revision")
+	ErrEpochChanged = errors.New("the registry came back from an older copy meanwhile")
+)
 
 // Source reads the registry and peers' copies of it.
 type Source interface {
-	// List returns all items of the registry, complete up to the returned revision.
-	List(ctx context.Context) ([]mirror.Item, uint64, error)
+	// List returns all items of the registry, complete up to the returned revision. It
+	// fails with ErrEpochChanged if the registry's epoch changes while it is read.
+	List(ctx context.Context) (items []mirror.Item, epoch, revision uint64, err error)
 	// Watch blocks until there are changes after the given revision and returns them
-	// with the revision to continue from. It may return no changes after a time-out.
-	Watch(ctx context.Context, after uint64) ([]mirror.Item, uint64, error)
-	// FromPeer returns what a copy with the given cursor lacks of a peer's.
-	FromPeer(ctx context.Context, peer string, cursor uint64) (mirror.Delta, error)
+	// with the revision to continue from. It may return no changes after a time-out. It
+	// fails with ErrHistoryGone if the registry no longer keeps the changes, and with
+	// ErrEpochChanged if the registry is in another epoch.
+	Watch(ctx context.Context, epoch, after uint64) ([]mirror.Item, uint64, error)
+	// FromPeer returns what a copy with the given epoch and cursor lacks of a peer's.
+	FromPeer(ctx context.Context, peer string, epoch, cursor uint64) (mirror.Delta, error)
 	// Decode returns the meaning of an item, nil if it has none for this process.
 	Decode(it mirror.Item) Event
 	// IsRenewal reports whether an item means the same after a change as before.
@@ -48,8 +53,8 @@
 	// Standby returns this process's place, from 1, among those that the reader has named
 	// to take over from it, 0 if it is none of them.
 	Standby(now time.Time) int
-	// Newer returns a peer whose copy has a later state and is at most maxAge old.
-	Newer(now time.Time, state uint64, maxAge time.Duration) (address string, ok bool)
+	// Newer returns a peer whose copy has a later version and is at most maxAge old.
+	Newer(now time.Time, v mirror.Version, maxAge time.Duration) (address string, ok bool)
 	// IsEntryPoint reports whether processes that start ask this one first.
 	IsEntryPoint() bool
 	// Processes returns the number of live processes, including this one.
@@ -152,11 +157,17 @@
 	graceUntil   time.Time // endpoints whose entries vanish before then may have expired
 
 	applying sync.Mutex // held while changes of the copy are passed on, to keep their order
+	epochAt  time.Time  // when the copy entered its epoch, zero for the first one; guarded by applying
+	// heldEvacuations are the data centres that the registry lists as in service again only
+	// because it came back older. Guarded by applying.
+	heldEvacuations map[string]time.Time
 }
 
 // New returns a Watcher. Run starts it.
 func New(d Deps) *Watcher {
-	return &Watcher{Deps: d, mirror: mirror.New(d.Source.IsRenewal), jitter: rand.N(d.StaleAfter/2 + 1)}
+	return &Watcher{
+		Deps: d, mirror: mirror.New(d.Source.IsRenewal), jitter: rand.N(d.StaleAfter/2 + 1), heldEvacuations: map[string]time.Time{},
+	}
 }
 
 // Mirror returns the copy of the registry, which peers may read.
@@ -168,7 +179,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return mirror.Report{
-		State: p.State, Cursor: p.Cursor, Age: now.Sub(p.AsOf), Reader: p.Reader,
+		Epoch: p.Epoch, State: p.State, Cursor: p.Cursor, Age: now.Sub(p.AsOf), Reader: p.Reader,
 		Reachable: w.failingSince.IsZero(), Grace: max(0, w.graceUntil.Sub(now)),
 	}
 }
@@ -181,7 +192,7 @@
 	if r.Grace > 0 && r.Grace <= graceAfterOutage && now.Add(r.Grace).After(w.graceUntil) {
 		w.graceUntil = now.Add(r.Grace)
 	}
-	if w.isReader && r.Reader < w.Address && r.State >= w.mirror.Position().State && r.Age < w.StaleAfter {
+	if w.isReader && r.Reader < w.Address && !r.Version().Before(w.mirror.Position().Version()) && r.Age < w.StaleAfter {
 		w.isReader, w.yielded = false, true
 		w.Log.Info("registry_reader_changed", zap.String("reader", r.Reader), zap.Duration("age", r.Age))
 	}
@@ -215,7 +226,7 @@
 	for w.peers != nil && ctx.Err() == nil {
 		pause := pollInterval
 		p := w.mirror.Position()
-		if peer, ok := w.peers.Newer(time.Now(), p.State, w.maxPeerAge(p)); ok && !w.pull(ctx, peer, p) {
+		if peer, ok := w.peers.Newer(time.Now(), p.Version(), w.maxPeerAge(p)); ok && !w.pull(ctx, peer, p) {
 			pause = peerRetryPause/2 + rand.N(peerRetryPause)
 		}
 		sleep(ctx, pause)
@@ -237,13 +248,13 @@
 const maxPeerAge = 24 * time.Hour
 
 func (w *Watcher) pull(ctx context.Context, peer string, p mirror.Position) bool {
-	d, err := w.Source.FromPeer(ctx, peer, p.Cursor)
+	d, err := w.Source.FromPeer(ctx, peer, p.Epoch, p.Cursor)
 	if err != nil {
 		w.Log.Info("peer_listing_failed", zap.String("peer", peer), zap.Error(err))
 		return false
 	}
 	w.apply(func() []mirror.Item { return w.mirror.Merge(d) })
-	w.Log.Info("peer_listing_applied", zap.String("peer", peer), zap.Uint64("revision", d.Position.Cursor), zap.Uint64("previous_revision", p.Cursor),
+	w.Log.Info("peer_listing_applied", zap.String("peer", peer), zap.Uint64("epoch", d.Position.Epoch), zap.Uint64("revision", d.Position.Cursor), zap.Uint64("previous_revision", p.Cursor),
 		zap.Int("items", len(d.Items)), zap.Bool("full", d.Full), zap.Duration("age", time.Since(d.Position.AsOf)))
 	return true
 }
@@ -252,7 +263,12 @@
 func (w *Watcher) apply(update func() []mirror.Item) {
 	w.applying.Lock()
 	defer w.applying.Unlock()
-	for _, it := range update() {
+	before := w.mirror.Position()
+	changes := update()
+	if p := w.mirror.Position(); p.Epoch > before.Epoch && before.Cursor > 0 {
+		w.beginEpoch(time.Now(), before, p)
+	}
+	for _, it := range changes {
 		if e := w.Source.Decode(it); e != nil {
 			w.applyEvent(e)
 		}
@@ -269,6 +285,9 @@
 	case TablePut:
 		w.applyTable(e.Table)
 	case DataCentreChanged:
+		if w.holdsEvacuation(now, e) {
+			return
+		}
 		if w.Scheduler.Evacuate(now, e.DataCentre, e.OutOfService) {
 			w.Log.Info("data_centre_changed", zap.String("data_centre", e.DataCentre), zap.Bool("out_of_service", e.OutOfService), zap.Uint64("revision", w.mirror.Position().Cursor))
 		}
@@ -282,8 +301,9 @@
 }
 
 func (w *Watcher) applyTable(t *routes.Table) {
-	if w.Tables.Apply(t) {
-		w.Log.Info("config_applied", zap.Uint64("version", t.Version()), zap.Uint64("revision", w.mirror.Position().Cursor))
+	p := w.mirror.Position()
+	if w.Tables.Apply(t, p.Epoch) {
+		w.Log.Info("config_applied", zap.Uint64("version", t.Version()), zap.Uint64("epoch", p.Epoch), zap.Uint64("revision", p.Cursor))
 	}
 }
 
@@ -293,6 +313,7 @@
 	for _, c := range w.Scheduler.ExpireGrace(now) {
 		w.reportChange(c)
 	}
+	w.endHeldEvacuations(now)
 }
 
 func (w *Watcher) reportChange(c sched.Change) {
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -29,8 +29,8 @@
 func (p *fakePeers) Standby(time.Time) int   { return p.standby }
 func (p *fakePeers) IsEntryPoint() bool      { return p.isEntryPoint }
 func (p *fakePeers) Processes(time.Time) int { return p.count }
-func (p *fakePeers) Newer(_ time.Time, state uint64, maxAge time.Duration) (string, bool) {
-	return "peer", p.copy != nil && p.copy.Position().State > state && p.age <= maxAge
+func (p *fakePeers) Newer(_ time.Time, v mirror.Version, maxAge time.Duration) (string, bool) {
+	return "peer", p.copy != nil && v.Before(p.copy.Position().Version()) && p.age <= maxAge
 }
 
 type fixture struct {
--- a/internal/router/peers/message.go
+++ b/internal/router/peers/message.go
@@ -33,7 +33,8 @@
 // leavingInfo identifies the incarnation of an endpoint that is leaving.
 type leavingInfo struct {
 	StartedMs int64  `msgpack:"b"`
-	Revision  uint64 `msgpack:"v"` // registry revision that reported it as leaving
+	Revision  uint64 `msgpack:"v"`           // registry revision that reported it as leaving
+	Epoch     uint64 `msgpack:"e,omitempty"` // of the registry, that the revision belongs to
 }
 
 // member is a process that the sender knows.
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -69,11 +69,12 @@
 	Reader    string
 	Reachable bool
 	GraceMs   int64
+	Epoch     uint64 // 0 from processes of earlier versions
 }
 
 func (r registryReport) report() mirror.Report {
 	return mirror.Report{
-		State: r.State, Cursor: r.Cursor, Age: time.Duration(max(0, r.AgeMs)) * time.Millisecond, Reader: r.Reader,
+		Epoch: r.Epoch, State: r.State, Cursor: r.Cursor, Age: time.Duration(max(0, r.AgeMs)) * time.Millisecond, Reader: r.Reader,
 		Reachable: r.Reachable, Grace: time.Duration(max(0, r.GraceMs)) * time.Millisecond,
 	}
 }
@@ -83,7 +84,7 @@
 	report, newest := g.cfg.Registry.Report(now), g.cfg.Registry.Newest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	lastState, behind := g.lastNoticeState, g.someoneIsBehind()
+	lastVersion, behind := g.lastNoticeVersion, g.someoneIsBehind()
 	others, standbys, newcomers := g.noticeRecipients(now, report), g.dueStandbys(now, report), g.uninformedPeers()
 	if len(others)+len(standbys)+len(newcomers) == 0 {
 		return nil, nil
@@ -92,10 +93,10 @@
 		Address: g.cfg.Address, Region: g.cfg.Region, Leaving: g.recentlyLeaving(), Known: len(g.livePeers(now)),
 		Registry: registryReport{
 			State: report.State, Cursor: report.Cursor, AgeMs: report.Age.Milliseconds(), Reader: report.Reader,
-			Reachable: report.Reachable, GraceMs: report.Grace.Milliseconds(),
+			Reachable: report.Reachable, GraceMs: report.Grace.Milliseconds(), Epoch: report.Epoch,
 		},
 	}
-	if report.State > lastState || behind {
+	if lastVersion.Before(report.Version()) || behind {
 		n.From, n.Changes = smallStep(newest)
 	}
 	packets := []Packet{{To: others}}
@@ -159,9 +160,9 @@
 			to[address] = true
 		}
 	}
-	changed := g.noticeDue || report.State > g.lastNoticeState
+	changed := g.noticeDue || g.lastNoticeVersion.Before(report.Version())
 	if changed || now.Sub(g.lastNotice) >= noticeInterval {
-		g.noticeDue, g.lastNoticeState, g.lastNotice = false, report.State, now
+		g.noticeDue, g.lastNoticeVersion, g.lastNotice = false, report.Version(), now
 		fanout := noticeFanout
 		if changed {
 			fanout = changeFanout
@@ -223,7 +224,7 @@
 	p := g.recordAlive(n.Address, n.Region, now)
 	g.heard(now, n.Address, p)
 	p.registry, p.registryAt = report, now
-	p.needsNotice = p.needsNotice || report.State < own.State
+	p.needsNotice = p.needsNotice || report.Version().Before(own.Version())
 	live := len(g.livePeers(now))
 	p.needsMembers = p.needsMembers || n.Known < live*3/4
 	if n.Known < live/4 { // a process that has run for a while may know of half as many
@@ -240,14 +241,15 @@
 }
 
 // applyLeaving marks the endpoints that a peer reports as leaving. A report of a
-// registry revision that this process's copy contains is ignored: the copy is right.
+// registry revision that this process's copy contains is ignored: the copy is right. So is
+// one of another epoch, whose revisions cannot be compared.
 func (g *Group) applyLeaving(now time.Time, from string, leaving map[string]leavingInfo) {
 	if len(leaving) == 0 {
 		return
 	}
-	cursor := g.cfg.Registry.Report(now).Cursor
+	own := g.cfg.Registry.Report(now)
 	for id, l := range leaving {
-		if l.Revision <= cursor {
+		if saidItself := l.Revision == sched.RevisionUntilRestart; !saidItself && (l.Epoch != own.Epoch || l.Revision <= own.Cursor) {
 			continue
 		}
 		if c := g.cfg.Scheduler.MarkLeaving(id, l.StartedMs, l.Revision); c.Kind != sched.ChangeNone {
@@ -268,15 +270,15 @@
 	return g.standby
 }
 
-// Newer returns a live peer whose copy of the registry has a later state than the
+// Newer returns a live peer whose copy of the registry has a later version than the
 // given one and is at most maxAge old, if possible one of the own region.
-func (g *Group) Newer(now time.Time, state uint64, maxAge time.Duration) (address string, ok bool) {
+func (g *Group) Newer(now time.Time, v mirror.Version, maxAge time.Duration) (address string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	nearFound := false
 	for candidate, p := range g.peers { // in the map's random order
 		near := p.region == g.cfg.Region
-		if p.registry.State <= state || !p.aliveWithin(now, liveTTL) || nearFound && !near || p.registry.Age+now.Sub(p.registryAt) > maxAge {
+		if !v.Before(p.registry.Version()) || !p.aliveWithin(now, liveTTL) || nearFound && !near || p.registry.Age+now.Sub(p.registryAt) > maxAge {
 			continue
 		}
 		if !ok || near && !nearFound {
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -112,12 +112,12 @@
 	sequence   uint64 // of the newest gossip
 	lastGossip time.Time
 
-	lastNotice        time.Time // time of the last round of notices
-	lastNoticeState   uint64    // registry state that it reported
-	noticeDue         bool      // an endpoint was reported as leaving since
-	lastStandbyNotice time.Time // time of the last notices to the standbys
-	standby           int       // this process's place among the reader's standbys, 0 if it is none
-	standbyAt         time.Time // when the reader said so
+	lastNotice        time.Time      // time of the last round of notices
+	lastNoticeVersion mirror.Version // of the registry's copy that it reported
+	noticeDue         bool           // an endpoint was reported as leaving since
+	lastStandbyNotice time.Time      // time of the last notices to the standbys
+	standby           int            // this process's place among the reader's standbys, 0 if it is none
+	standbyAt         time.Time      // when the reader said so
 }
 
 type leavingRecord struct {
@@ -187,9 +187,10 @@
 
 // ReportLeaving reports a leaving endpoint to the peers in the next messages.
 func (g *Group) ReportLeaving(now time.Time, e endpt.Endpoint) {
+	epoch := g.cfg.Registry.Report(now).Epoch // before locking, as in gossipPackets
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving[e.ID] = leavingRecord{leavingInfo{e.StartedMs, e.Revision}, now}
+	g.leaving[e.ID] = leavingRecord{leavingInfo{e.StartedMs, e.Revision, epoch}, now}
 	g.noticeDue = true
 }
 
--- a/internal/router/peers/registry_test.go
+++ b/internal/router/peers/registry_test.go
@@ -36,6 +36,7 @@
 // the time by heartbeats of other items.
 type storeModel struct {
 	mu        sync.Mutex
+	epoch     uint64
 	revision  uint64
 	state     uint64 // revision of the newest change
 	calls     int
@@ -62,7 +63,16 @@
 
 var errNoResponse = errors.New("no response")
 
-func (s *storeModel) call(address string) (state, revision uint64, err error) {
+// rewind brings the store back as it was some revisions ago.
+func (s *storeModel) rewind(lost uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.revision -= lost
+	s.state = min(s.state, s.revision)
+}
+
+func (s *storeModel) call(address string) (state, revision, epoch uint64, err error) {
 	s.mu.Lock()
 	s.calls++
 	down, latency := s.down || s.rejected != nil && s.rejected(address), s.latency
@@ -70,15 +80,15 @@
 	s.mu.Unlock()
 	if lost {
 		time.Sleep(callTimeout)
-		return 0, 0, errNoResponse
+		return 0, 0, 0, errNoResponse
 	}
 	time.Sleep(latency)
 	if down {
-		return 0, 0, errNoResponse
+		return 0, 0, 0, errNoResponse
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state, s.revision, nil
+	return s.state, s.revision, s.epoch, nil
 }
 
 // process is one process of the fleet.
@@ -93,25 +103,28 @@
 	thawsAt atomic.Pointer[time.Time] // the process does nothing until then
 }
 
-func (p *process) List(context.Context) ([]mirror.Item, uint64, error) {
+func (p *process) List(context.Context) ([]mirror.Item, uint64, uint64, error) {
 	p.awaitThaw()
-	state, revision, err := p.fleet.store.call(p.address)
+	state, revision, epoch, err := p.fleet.store.call(p.address)
 	if err == nil {
 		p.fleet.store.mu.Lock()
 		p.fleet.store.compacted = false
 		p.fleet.store.mu.Unlock()
 	}
-	return items(0, state), revision, err
+	return items(0, state), epoch, revision, err
 }
 
-func (p *process) Watch(_ context.Context, after uint64) ([]mirror.Item, uint64, error) {
+func (p *process) Watch(_ context.Context, epoch, after uint64) ([]mirror.Item, uint64, error) {
 	p.awaitThaw()
-	state, revision, err := p.fleet.store.call(p.address)
+	state, revision, current, err := p.fleet.store.call(p.address)
 	p.fleet.store.mu.Lock()
 	defer p.fleet.store.mu.Unlock()
 	if err == nil && p.fleet.store.compacted {
 		return nil, 0, watch.ErrHistoryGone
 	}
+	if err == nil && current != epoch {
+		return nil, 0, watch.ErrEpochChanged
+	}
 	return items(after, state), max(after, revision), err
 }
 
@@ -123,14 +136,14 @@
 	return []mirror.Item{{Key: "counter", Value: fmt.Append(nil, state), Revision: state}}
 }
 
-func (p *process) FromPeer(_ context.Context, peer string, cursor uint64) (mirror.Delta, error) {
+func (p *process) FromPeer(_ context.Context, peer string, epoch, cursor uint64) (mirror.Delta, error) {
 	time.Sleep(2 * peerLatency)
 	other := p.fleet.byAddress[peer]
 	if p.silent.Load() || other.silent.Load() || other.down.Load() {
 		time.Sleep(callTimeout)
 		return mirror.Delta{}, errNoResponse
 	}
-	return other.watcher.Mirror().Since(cursor), nil
+	return other.watcher.Mirror().Since(epoch, cursor), nil
 }
 
 func (p *process) Decode(mirror.Item) watch.Event                           { return nil }
@@ -233,11 +246,11 @@
 // lag waits until all processes that are up have a change, or returns the address of
 // one that has not within the limit.
 func (f *registryFleet) lag(revision uint64, limit time.Duration) (took time.Duration, behind string) {
-	began := time.Now()
+	began, want := time.Now(), mirror.Version{Epoch: f.epoch(), State: revision}
 	for {
 		behind = ""
 		for _, p := range f.processes {
-			if at := p.thawsAt.Load(); !p.down.Load() && (at == nil || time.Now().After(*at)) && p.watcher.Mirror().Position().State < revision {
+			if at := p.thawsAt.Load(); !p.down.Load() && (at == nil || time.Now().After(*at)) && p.watcher.Mirror().Position().Version().Before(want) {
 				behind = p.address
 			}
 		}
@@ -355,6 +368,83 @@
 	})
 }
 
+func (f *registryFleet) epoch() uint64 {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.epoch
+}
+
+// After the registry came back from an older copy, its changes must be in force within the
+// bound, whatever happens to the reader then, though their revisions were seen before.
+func TestChangesAfterRewind(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(f *registryFleet)
+	}{
+		{"no fault", func(*registryFleet) {}},
+		{"reader killed", func(f *registryFleet) { f.kill(0) }},
+		{"reader frozen", func(f *registryFleet) { f.freeze(0, 3*changeBound) }},
+		{"reader cut off from its peers", func(f *registryFleet) { f.cutOff(0) }},
+		{"reader turned away", func(f *registryFleet) {
+			reader := f.processes[0].address
+			f.store.set(func(s *storeModel) { s.rejected = func(address string) bool { return address == reader } })
+		}},
+	} {
+		for _, away := range []time.Duration{0, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s, away for %v", test.name, away), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRegistryFleet(t, 40)
+					time.Sleep(5 * time.Second)
+					revision := f.store.change()
+					f.lag(revision, changeBound)
+					f.store.set(func(s *storeModel) { s.down = away > 0 })
+					time.Sleep(away)
+					f.store.rewind(300)
+					test.fault(f)
+					f.store.set(func(s *storeModel) { s.down = false })
+					time.Sleep(100 * time.Millisecond)
+					for range 3 {
+						if took, behind := f.lag(f.store.change(), changeBound); behind != "" {
+							t.Fatalf("%s has not taken a change %v after the registry came back", behind, took)
+						}
+						time.Sleep(time.Second)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A registry that comes back from an older copy must not get more calls than one that was
+// only away, but for one listing by each process at most.
+func TestRegistryCallsAfterRewind(t *testing.T) {
+	for _, count := range []int{103, 390} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newRegistryFleet(t, count)
+				time.Sleep(5 * time.Second)
+				var calls [2]int
+				for i, lost := range []uint64{0, 300} {
+					f.store.set(func(s *storeModel) { s.down = true })
+					time.Sleep(2 * time.Second)
+					if lost > 0 {
+						f.store.rewind(lost)
+					}
+					f.store.set(func(s *storeModel) { s.down = false })
+					before := f.calls()
+					time.Sleep(3 * time.Second)
+					calls[i] = f.calls() - before
+				}
+				t.Logf("%d processes: %d calls in 3 s after an outage, %d if the registry came back older", count, calls[0], calls[1])
+				if most := calls[0] + count; calls[1] > most {
+					t.Errorf("%d calls in 3 s after the registry came back older, want at most %d", calls[1], most)
+				}
+			})
+		})
+	}
+}
+
 func (f *registryFleet) sentBytes() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/router/sched/choose.go
+++ b/internal/router/sched/choose.go
@@ -197,7 +197,7 @@
 	if now.Before(e.suspectUntil) {
 		cost += suspectPenalty
 	}
-	if !e.graceUntil.IsZero() {
+	if !e.graceUntil.IsZero() && !now.Before(s.holdUntil) { // the registry's older copy may lack an endpoint that runs
 		cost += unlistedPenalty
 	}
 	return cost
--- /dev/null
+++ b/internal/router/sched/epoch.go
@@ -0,0 +1,75 @@
+package sched
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+)
+
+// departure is an endpoint that the registry has ceased to list.
+type departure struct {
+	startedMs int64
+	at        time.Time
+}
+
+// departureTTL is longer than a registry can lose when it comes back from an older copy.
+const departureTTL = time.Minute
+
+// heldRevision is the revision of a leaving endpoint that the registry may list as ready
+// only because it came back older. No registration has a later one.
+const heldRevision = math.MaxUint64 - 1
+
+// BeginEpoch takes note that the registry came back from an older copy. Its revisions can
+// no longer be compared with earlier ones. Endpoints that are leaving, or have left, stay so
+// for a time even if the registry lists them as ready: entries of those that are gone expire
+// within it.
+func (s *Scheduler) BeginEpoch(now time.Time, hold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdUntil = now.Add(hold)
+	for _, e := range s.endpoints {
+		e.endpoint.Revision = 0
+		if e.isLeaving && e.leavingRevision != RevisionUntilRestart {
+			e.hold(s.holdUntil)
+		}
+	}
+}
+
+// recordDeparture remembers an endpoint that the registry has ceased to list.
+func (s *Scheduler) recordDeparture(now time.Time, e endpt.Endpoint) {
+	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departureTTL })
+	s.departed[e.ID] = departure{e.StartedMs, now}
+}
+
+// hold keeps an endpoint leaving until a time.
+func (e *endpointState) hold(until time.Time) {
+	e.markLeaving(heldRevision)
+	e.leavingRevision, e.heldUntil = heldRevision, until
+}
+
+// hasDeparted reports whether the registry lists an endpoint that had left before it came
+// back from an older copy.
+func (s *Scheduler) hasDeparted(now time.Time, ep endpt.Endpoint) bool {
+	d, found := s.departed[ep.ID]
+	return found && d.startedMs == ep.StartedMs && now.Sub(d.at) <= departureTTL && now.Before(s.holdUntil)
+}
+
+// endHolds makes the endpoints usable that the registry still lists as ready.
+func (s *Scheduler) endHolds(now time.Time) (changes []Change) {
+	for id, e := range s.endpoints {
+		if e.heldUntil.IsZero() || now.Before(e.heldUntil) {
+			continue
+		}
+		e.heldUntil = time.Time{}
+		if e.removed || e.endpoint.Draining {
+			e.leavingRevision = e.endpoint.Revision
+			continue
+		}
+		delete(s.departed, id)
+		s.endpoints[id] = &endpointState{endpoint: e.endpoint, key: e.key, leaving: make(chan struct{})}
+		changes = append(changes, Change{e.endpoint, ChangeAdded})
+	}
+	return changes
+}
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -41,12 +41,12 @@
 func (s *Scheduler) Put(now time.Time, ep endpt.Endpoint) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change := s.put(ep)
+	change := s.put(now, ep)
 	s.placeWaiting(now)
 	return change
 }
 
-func (s *Scheduler) put(ep endpt.Endpoint) Change {
+func (s *Scheduler) put(now time.Time, ep endpt.Endpoint) Change {
 	e, known := s.endpoints[ep.ID]
 	if known && ep.StartedMs < e.endpoint.StartedMs {
 		return Change{Endpoint: ep} // late event of an earlier incarnation
@@ -57,9 +57,13 @@
 		}
 		e = &endpointState{endpoint: ep, key: KeyOf(ep.ID), leaving: make(chan struct{})}
 		s.endpoints[ep.ID] = e
-		if ep.Draining {
+		switch {
+		case ep.Draining:
 			e.markLeaving(ep.Revision)
 			return Change{ep, ChangeLeaving}
+		case s.hasDeparted(now, ep):
+			e.hold(s.holdUntil)
+			return Change{ep, ChangeLeaving}
 		}
 		return Change{ep, ChangeAdded}
 	}
@@ -144,6 +148,9 @@
 		return Change{e.endpoint, ChangeLapsed}
 	}
 	wasLeaving := e.isLeaving
+	if e.graceUntil.IsZero() {
+		s.recordDeparture(now, e.endpoint)
+	}
 	e.markLeaving(e.endpoint.Revision)
 	e.removed = true
 	if e.local == (Load{}) {
@@ -172,6 +179,7 @@
 			changes = appendChange(changes, s.remove(now, id, time.Time{}))
 		}
 	}
+	changes = append(changes, s.endHolds(now)...)
 	s.placeWaiting(now) // cold limits and suspect times may have ended
 	return changes
 }
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -71,11 +71,13 @@
 	cfg        Config
 	mu         sync.Mutex
 	endpoints  map[string]*endpointState
-	evacuated  map[string]bool     // data centres that are out of service
-	peers      map[string]peerLoad // by peer name
-	peerTotals map[Key]Load        // sum of the peers' loads, kept because every placement needs it
-	waiting    []*waiter           // in the order of placement, as last sorted
-	arrivals   uint64              // number of calls queued so far
+	evacuated  map[string]bool      // data centres that are out of service
+	peers      map[string]peerLoad  // by peer name
+	peerTotals map[Key]Load         // sum of the peers' loads, kept because every placement needs it
+	waiting    []*waiter            // in the order of placement, as last sorted
+	arrivals   uint64               // number of calls queued so far
+	departed   map[string]departure // endpoints that have left, by ID
+	holdUntil  time.Time            // of the newest epoch of the registry, see BeginEpoch
 }
 
 type endpointState struct {
@@ -85,6 +87,7 @@
 	leaving         chan struct{} // closed when isLeaving is set
 	isLeaving       bool
 	leavingRevision uint64    // registry revision that reported it as leaving
+	heldUntil       time.Time // leaving until then though the registry may list it as ready, see BeginEpoch
 	graceUntil      time.Time // not listed by the registry but usable until then; zero if listed
 	removed         bool
 	recentSends     []time.Time // send times; those older than coldWindow are dropped with the next send
@@ -105,7 +108,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Int64
 	}
-	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}}
+	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, departed: map[string]departure{}}
 }
 
 // Request describes what a call requires of its endpoint.
