Limits are used at hundreds of gateways and shared evenly

Cause: a home did not answer a gateway whose address it did not know, or before it knew of the limit, and then counted as silent; its bytes for the first burst of questions were too few, so that it stopped for seconds; it queued an Ask behind all calls of others instead of in turn with them.

Change: questions carry the sender's address in fleets of over 12; a home that has nothing to hand out says so; permits may take 4,000 bytes a second and 8 KB saved up; equally urgent gateways are queued in turn; the patience in a question leaves out the time that it and its answer are under way. LimitedWait returns at once if no endpoint names a limit. The bound of the test on bytes was a guess; it is now what load reports leave of the 8 KB a second that the target allows for control.

TestLimitSharedByAllGateways passes.

--- a/internal/router/limit/gate.go
+++ b/internal/router/limit/gate.go
@@ -57,11 +57,12 @@
 func (l *Ledger) receiveAsk(now time.Time, from string, a Ask) {
 	if home := l.homes.of(a.Gate); home != l.cfg.Address {
 		l.probes[home] = a.Gate // the sender may have got no answer from it
-		l.misdirected[from] = a.Gate
+		l.notServed[from] = a.Gate
 		return
 	}
 	w := l.words[a.Gate.Endpoint]
-	if w == nil || !w.Named {
+	if w == nil || !w.Named { // the word about the limit, or its end, is under way
+		l.notServed[from] = a.Gate
 		return
 	}
 	g := l.gates[a.Gate]
@@ -92,19 +93,26 @@
 	}
 	a := g.askers[i]
 	a.calls, a.priority, a.until, a.answerDue, a.again = 0, ask.Priority, now.Add(min(maxPatience, ask.Patience)), true, 0
-	room := max(0, 1+int(g.permits+rate*a.until.Sub(now).Seconds())-g.ahead(now, a)) // one in reserve
-	a.calls = min(ask.Calls, room)
+	room := 1 + int(g.permits+rate*a.until.Sub(now).Seconds()) // one in reserve
+	for a.calls < ask.Calls && a.calls+1+g.ahead(now, a, a.calls+1) <= room {
+		a.calls++
+	}
 	if a.calls < ask.Calls {
 		again := time.Duration(float64(len(g.askers)) / (asksPerPermit*rate + asksPerSecond) * float64(time.Second))
 		a.again = min(maxAgain, max(minAgain, again))
 	}
 }
 
-// ahead returns the number of permits that go to others before a process gets one.
-func (g *gate) ahead(now time.Time, a *asker) (sum int) {
+// ahead returns the number of permits that go to others before a process gets its nth:
+// all of the more urgent ones, and as many of each equally urgent process.
+func (g *gate) ahead(now time.Time, a *asker, n int) (sum int) {
 	for _, o := range g.askers {
-		if o != a && o.priority <= a.priority && !now.After(o.until) {
+		switch {
+		case o == a || o.priority > a.priority || now.After(o.until):
+		case o.priority < a.priority:
 			sum += o.calls
+		default:
+			sum += min(n, o.calls)
 		}
 	}
 	return sum
@@ -180,12 +188,12 @@
 	clear(l.probes)
 }
 
-// answerMisdirected answers the processes that took this one for another gate's home, so
-// that they do not take it for silent.
-func (l *Ledger) answerMisdirected(out outbox) {
-	for address, gate := range l.misdirected {
+// answerNotServed answers the processes that this one has no permits for, so that they do
+// not take it for silent.
+func (l *Ledger) answerNotServed(out outbox) {
+	for address, gate := range l.notServed {
 		m := out.to(address)
 		m.Answers = append(m.Answers, Answer{Gate: gate, Again: answerTimeout})
 	}
-	clear(l.misdirected)
+	clear(l.notServed)
 }
--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -41,15 +41,17 @@
 	// probes are homes that others asked this process in place of, by address, with one
 	// gate of each.
 	probes map[string]Gate
-	// misdirected are processes that asked this one, by address, with one of the gates.
-	misdirected map[string]Gate
+	// notServed are processes that asked this one for permits that it does not hand out, by
+	// address, with one of the gates.
+	notServed map[string]Gate
+	pending   atomic.Bool // probes or notServed are not empty
 }
 
 // New returns a ledger without limits.
 func New(cfg Config) *Ledger {
 	return &Ledger{
 		cfg: cfg, words: map[sched.Key]*word{}, homes: newHomes(cfg.Address),
-		needs: map[sched.Key]*need{}, gates: map[Gate]*gate{}, probes: map[string]Gate{}, misdirected: map[string]Gate{},
+		needs: map[sched.Key]*need{}, gates: map[Gate]*gate{}, probes: map[string]Gate{}, notServed: map[string]Gate{},
 	}
 }
 
@@ -81,8 +83,8 @@
 	Message Message
 }
 
-// Any reports whether any endpoint names a limit.
-func (l *Ledger) Any() bool { return l.limited.Load() > 0 }
+// Any reports whether any endpoint names a limit, or another process asked about one.
+func (l *Ledger) Any() bool { return l.limited.Load() > 0 || l.pending.Load() }
 
 // Tick returns the messages that are due now. demand is what this process wants to send,
 // view which processes there are.
@@ -94,7 +96,8 @@
 	out := outbox{}
 	l.ask(now, demand, out)
 	l.probe(now, out)
-	l.answerMisdirected(out)
+	l.answerNotServed(out)
+	l.pending.Store(false)
 	l.grant(now, out)
 	return out.packets()
 }
@@ -112,11 +115,12 @@
 	for _, a := range m.Answers {
 		l.receiveAnswer(now, a)
 	}
+	l.pending.Store(len(l.probes)+len(l.notServed) > 0)
 }
 
 // Limit returns the limit that an endpoint names. named is false if it names none.
 func (l *Ledger) Limit(now time.Time, e endpt.Endpoint) (state sched.Limit, named bool) {
-	if !l.Any() {
+	if l.limited.Load() == 0 {
 		return sched.Limit{}, false
 	}
 	l.mu.Lock()
--- a/internal/router/limit/need.go
+++ b/internal/router/limit/need.go
@@ -11,7 +11,7 @@
 	// without knowing whether the earlier ones were used.
 	permitTTL = 400 * time.Millisecond
 	// answerMargin is how long an Ask and its Answer are under way.
-	answerMargin = 60 * time.Millisecond
+	answerMargin = 100 * time.Millisecond
 	// maxPatience bounds how long a home keeps an Ask.
 	maxPatience = 2 * time.Second
 )
--- a/internal/router/limit/word.go
+++ b/internal/router/limit/word.go
@@ -56,7 +56,7 @@
 // Hear records what a response of an endpoint says. sent is when its request was sent. It
 // reports whether this is news.
 func (l *Ledger) Hear(now time.Time, e endpt.Endpoint, sent time.Time, s Statement) bool {
-	if !s.Named && !l.Any() {
+	if !s.Named && l.limited.Load() == 0 {
 		return false
 	}
 	l.mu.Lock()
--- a/internal/router/peers/limits.go
+++ b/internal/router/peers/limits.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,8 +32,8 @@
 
 	// permitBytesPerSecond bounds what a process spends on permits; permitBurst is how much
 	// it may save up. What is due meanwhile shares a message later.
-	permitBytesPerSecond = 3000
-	permitBurst          = 1 << 10
+	permitBytesPerSecond = 4000
+	permitBurst          = 8 << 10
 
 	// regionSilence is how long after the last message from any process of a region none of
 	// its processes counts as live.
@@ -42,7 +43,7 @@
 
 // Limits is what this process knows about the limits that endpoints name.
 type Limits interface {
-	// Any reports whether any endpoint names a limit.
+	// Any reports whether Tick may have anything to do.
 	Any() bool
 	// Words returns up to n of the limits, the newest changes first, and a number that is
 	// higher whenever there was a change.
@@ -103,6 +104,7 @@
 	Sender   uint32   // its senderKey
 	Asks     []permitAsk
 	Answers  []permitAnswer
+	Address  string // of the sender, in a fleet so large that the receiver may not know it
 }
 
 // gateName is a limit.Gate.
@@ -144,9 +146,9 @@
 	maxPriority = 1 << 14
 )
 
-func encodePermits(sender uint32, m limit.Message) *permits {
-	return &permits{
-		Sender: sender,
+func encodePermits(address string, isLarge bool, m limit.Message) *permits {
+	p := &permits{
+		Sender: senderKey(address),
 		Asks: lo.Map(m.Asks, func(a limit.Ask, _ int) permitAsk {
 			return permitAsk{Gate: encodeGate(a.Gate), Calls: uint16(min(maxPermits, a.Calls)), Priority: int16(min(maxPriority, max(-maxPriority, a.Priority))), PatienceMs: a.Patience.Milliseconds()}
 		}),
@@ -154,6 +156,10 @@
 			return permitAnswer{Gate: encodeGate(a.Gate), Granted: uint16(min(maxPermits, a.Granted)), Queued: uint16(min(maxPermits, a.Queued)), AgainMs: a.Again.Milliseconds()}
 		}),
 	}
+	if isLarge && len(m.Asks) > 0 {
+		p.Address = address
+	}
+	return p
 }
 
 func (p *permits) message() limit.Message {
@@ -175,7 +181,8 @@
 	if g.cfg.Limits == nil || !g.cfg.Limits.Any() || !g.maySendPermits(now) {
 		return nil, nil
 	}
-	due := g.cfg.Limits.Tick(now, g.cfg.Scheduler.Demand(now), g.limitView(now))
+	view := g.limitView(now)
+	due := g.cfg.Limits.Tick(now, g.cfg.Scheduler.Demand(now), view)
 	if len(due) > 0 || g.limits.sentTick {
 		g.cfg.Scheduler.PlaceWaiting(now) // a home grants permits to itself too
 	}
@@ -183,7 +190,7 @@
 	var packets []Packet
 	spent := 0
 	for _, p := range due {
-		raw, err := msgpack.Marshal(message{Permits: encodePermits(senderKey(g.cfg.Address), p.Message)})
+		raw, err := msgpack.Marshal(message{Permits: encodePermits(g.cfg.Address, view.Known > maxSmallFleet, p.Message)})
 		if err != nil {
 			return nil, err
 		}
@@ -310,7 +317,7 @@
 // receivePermits processes a peer's questions for permits and its answers.
 func (g *Group) receivePermits(now time.Time, p *permits) {
 	g.mu.Lock()
-	sender := g.senders[p.Sender]
+	sender := cmp.Or(p.Address, g.senders[p.Sender])
 	g.mu.Unlock()
 	if g.cfg.Limits == nil || sender == "" {
 		return
--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -268,9 +268,9 @@
 	}
 }
 
-// limitTraffic is what limits may take of the 8 KB a second that a process has for control
+// limitTraffic is what load reports leave of the 8 KB a second that a process has for control
 // traffic.
-const limitTraffic = limitBytesPerSecond + permitBytesPerSecond
+const limitTraffic = 8<<10 - loadBytesPerSecond
 
 // Guards against more calls than allowed while processes know different parts of the fleet.
 func TestLimitWithPartialViews(t *testing.T) {
@@ -402,7 +402,7 @@
 		Asks:    []limit.Ask{{Gate: gate, Calls: 3, Priority: -2, Patience: 250 * time.Millisecond}},
 		Answers: []limit.Answer{{Gate: gate, Granted: 2, Queued: 7, Again: 2 * time.Second}},
 	}
-	raw, err := msgpack.Marshal(message{Permits: encodePermits(7, m), Limits: []limitWord{encodeWord(word)}})
+	raw, err := msgpack.Marshal(message{Permits: encodePermits("10.0.0.1:7200", true, m), Limits: []limitWord{encodeWord(word)}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -9,6 +9,8 @@
 // Limits holds the rates that endpoints accept from all processes together, and the
 // permits of this process for calls to such endpoints.
 type Limits interface {
+	// Any reports whether any endpoint may name a limit.
+	Any() bool
 	// Limit returns the limit that an endpoint names. named is false if it names none.
 	Limit(now time.Time, e endpt.Endpoint) (limit Limit, named bool)
 	// Take uses one of the permits.
@@ -64,7 +66,7 @@
 // waiting call counts at the endpoint that is expected to have a permit for it first, if
 // any.
 func (s *Scheduler) Demand(now time.Time) map[Key]Demand {
-	if s.cfg.Limits == nil {
+	if s.cfg.Limits == nil || !s.cfg.Limits.Any() {
 		return nil
 	}
 	s.mu.Lock()
@@ -132,7 +134,7 @@
 
 // limitedWait is LimitedWait for a call with a number of others before it.
 func (s *Scheduler) limitedWait(now time.Time, req Request, ahead int) (wait time.Duration, limited bool) {
-	if s.cfg.Limits == nil {
+	if s.cfg.Limits == nil || !s.cfg.Limits.Any() {
 		return 0, false
 	}
 	var rate float64
--- /dev/null
+++ b/internal/router/sched/limits_test.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+)
+
+// fixedLimits are limits that only the test changes, by endpoint ID.
+type fixedLimits map[string]*Limit
+
+func (f fixedLimits) Any() bool { return len(f) > 0 }
+
+func (f fixedLimits) Limit(_ time.Time, e endpt.Endpoint) (Limit, bool) {
+	if l := f[e.ID]; l != nil {
+		return *l, true
+	}
+	return Limit{}, false
+}
+
+func (f fixedLimits) Take(_ time.Time, e endpt.Endpoint) { f[e.ID].Permits-- }
+
+// newLimited returns a scheduler with idle endpoints a and b.
+func newLimited(limits fixedLimits) *Scheduler {
+	s := New(Config{Processes: func() int { return 1 }, Limits: limits})
+	for _, id := range []string{"a", "b"} {
+		s.Put(time.Now(), endpt.Endpoint{ID: id, StartedMs: 1, Service: "s", Slots: 4})
+	}
+	return s
+}
+
+// A call goes to an endpoint that names a limit only with a permit, whatever it is placed
+// for.
+func TestPermitIsTaken(t *testing.T) {
+	for _, purpose := range []Purpose{PurposeRun, PurposeMove} {
+		limits := fixedLimits{"a": {Rate: 3, Permits: 2}, "b": {Rate: 3}}
+		s := newLimited(limits)
+		req := Request{Service: "s", Purpose: purpose}
+		for n := range 4 {
+			lease, placed := s.TryPlace(time.Now(), req)
+			if placed != (n < 2) || placed && lease.Endpoint.ID != "a" {
+				t.Errorf("call %d, purpose %d: placed %v, want the two permits of a used", n, purpose, placed)
+			}
+		}
+	}
+}
+
+// A process that would rather use a limited endpoint asks for one permit in advance.
+func TestPermitInAdvance(t *testing.T) {
+	limits := fixedLimits{"a": {Rate: 3}}
+	s := newLimited(limits)
+	now := time.Now()
+	for range 3 { // fills b, until the idle a is the better choice
+		if _, placed := s.TryPlace(now, Request{Service: "s"}); !placed {
+			t.Fatal("the call was not placed on the endpoint without a limit")
+		}
+	}
+	if d := s.Demand(now)[KeyOf("a")]; d.Calls != 1 || d.Priority != advancePriority {
+		t.Errorf("demand %+v, want one call of the lowest priority", d)
+	}
+	if d := s.Demand(now.Add(2 * missedTTL)); len(d) != 0 {
+		t.Errorf("demand %+v later, want none", d)
+	}
+}
+
+// Waiting calls ask for permits where they are expected first, the most urgent priority is
+// named, and calls without a prospect end their wait.
+func TestWaitingCallsAskForPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := fixedLimits{"a": {Rate: 10}, "b": {Rate: 5}}
+		s := newLimited(limits)
+		now := time.Now()
+		done := make(chan *Lease, 3)
+		for priority := range 3 {
+			go func() {
+				done <- s.Wait(t.Context(), now, Request{Service: "s"}, WaitOptions{Priority: 2 - priority, StartBy: now.Add(time.Second), Deadline: now.Add(time.Second)})
+			}()
+		}
+		synctest.Wait()
+		d := s.Demand(now)
+		if a, b := d[KeyOf("a")], d[KeyOf("b")]; a.Calls != 2 || b.Calls != 1 || a.Priority != 0 || a.Patience != time.Second {
+			t.Errorf("demand %+v and %+v, want two calls at the faster endpoint and one at the other", a, b)
+		}
+		limits["a"].Permits = 1
+		limits["a"].Wait, limits["b"].Wait = 5*time.Second, 7*time.Second
+		s.PlaceWaiting(now)
+		placed, ended := 0, 0
+		for range 3 {
+			if lease := <-done; lease != nil {
+				placed++
+			} else {
+				ended++
+			}
+		}
+		if placed != 1 || ended != 2 || time.Since(now) > 0 {
+			t.Errorf("%d placed, %d ended after %v, want 1 and 2 at once", placed, ended, time.Since(now))
+		}
+		if wait, limited := s.LimitedWait(now, Request{Service: "s"}); !limited || wait != 5*time.Second {
+			t.Errorf("expected wait %v, limited %v, want 5 s", wait, limited)
+		}
+	})
+}
+
+// A call that may go to an endpoint without a limit is not refused for the limits of others.
+func TestLimitedWaitNeedsAllEndpointsLimited(t *testing.T) {
+	s := newLimited(fixedLimits{"a": {Rate: 1, Wait: time.Minute}})
+	if wait, limited := s.LimitedWait(time.Now(), Request{Service: "s"}); limited {
+		t.Errorf("limited with a wait of %v, want not", wait)
+	}
+	if wait, limited := s.LimitedWait(time.Now(), Request{Service: "s", Exclude: []string{"b"}}); !limited || wait != time.Minute {
+		t.Errorf("limited %v with a wait of %v, want a minute", limited, wait)
+	}
+}
