An endpoint that says that it leaves gets no more calls

The endpoint is marked as leaving until it starts anew, its generations are moved, and the other gateways are told with the notices of leaving endpoints.

--- a/internal/fleet/watch/drain.go
+++ b/internal/fleet/watch/drain.go
@@ -50,5 +50,10 @@
 	if err != nil || !draining {
 		return // an endpoint that is down is detected by its failing calls
 	}
+	w.HearLeaving(e)
+}
+
+// HearLeaving takes note that an endpoint has said itself that it leaves.
+func (w *Watcher) HearLeaving(e endpt.Endpoint) {
 	w.reportChange(w.Scheduler.MarkLeaving(e.ID, e.StartedMs, sched.RevisionUntilRestart))
 }
