An endpoint that wants nothing for a while gets nothing until then

The scheduler treats the endpoint as one with a limit and no permits until then, for each kind of send. The other gateways are not told.

--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -137,8 +137,11 @@
 	return state, true
 }
 
-// Take uses one of the permits for an endpoint.
+// Take uses one of the permits for an endpoint, if it names a limit.
 func (l *Ledger) Take(now time.Time, e endpt.Endpoint) {
+	if l.limited.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n := l.needs[sched.KeyOf(e.ID)]; n != nil && n.held(now) > 0 {
--- a/internal/router/sched/choose.go
+++ b/internal/router/sched/choose.go
@@ -104,7 +104,7 @@
 		e.recentSends = append(e.recentSends, now)
 	}
 	e.local = e.local.plus(load)
-	if _, named := s.limit(now, e); named {
+	if s.cfg.Limits != nil {
 		s.cfg.Limits.Take(now, e.endpoint)
 	}
 	return &Lease{Endpoint: e.endpoint, scheduler: s, state: e, load: load}
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -13,7 +13,7 @@
 	Any() bool
 	// Limit returns the limit that an endpoint names. named is false if it names none.
 	Limit(now time.Time, e endpt.Endpoint) (limit Limit, named bool)
-	// Take uses one of the permits.
+	// Take uses one of the permits, if the endpoint names a limit.
 	Take(now time.Time, e endpt.Endpoint)
 }
 
@@ -42,11 +42,42 @@
 	maxDemand = 64 // waiting calls that ask for permits
 )
 
-func (s *Scheduler) limit(now time.Time, e *endpointState) (Limit, bool) {
-	if s.cfg.Limits == nil {
-		return Limit{}, false
+// limit returns the limit of an endpoint. One that wants nothing for a while has a limit
+// without permits until then.
+func (s *Scheduler) limit(now time.Time, e *endpointState) (l Limit, named bool) {
+	if s.cfg.Limits != nil {
+		l, named = s.cfg.Limits.Limit(now, e.endpoint)
 	}
-	return s.cfg.Limits.Limit(now, e.endpoint)
+	if wait := e.closedUntil.Sub(now); wait > 0 {
+		return Limit{Rate: max(l.Rate, closedRate), Wait: max(l.Wait, wait)}, true
+	}
+	return l, named
+}
+
+// closedRate is the assumed rate of an endpoint that has only said when it wants calls again.
+const closedRate = 1.0
+
+// mayBeLimited reports whether any endpoint may have a limit.
+func (s *Scheduler) mayBeLimited(now time.Time) bool {
+	return s.cfg.Limits != nil && s.cfg.Limits.Any() || now.Before(s.closedUntil)
+}
+
+// Close stops calls to one incarnation of an endpoint until a time. It reports whether the
+// endpoint is known.
+func (s *Scheduler) Close(id string, startedMs int64, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.endpoints[id]
+	if !known || e.endpoint.StartedMs != startedMs {
+		return false
+	}
+	if until.After(e.closedUntil) {
+		e.closedUntil = until
+	}
+	if until.After(s.closedUntil) {
+		s.closedUntil = until
+	}
+	return true
 }
 
 func (s *Scheduler) hasPermit(now time.Time, e *endpointState) bool {
@@ -134,7 +165,7 @@
 
 // limitedWait is LimitedWait for a call with a number of others before it.
 func (s *Scheduler) limitedWait(now time.Time, req Request, ahead int) (wait time.Duration, limited bool) {
-	if s.cfg.Limits == nil || !s.cfg.Limits.Any() {
+	if !s.mayBeLimited(now) {
 		return 0, false
 	}
 	var rate float64
--- a/internal/router/sched/limits_test.go
+++ b/internal/router/sched/limits_test.go
@@ -20,7 +20,11 @@
 	return Limit{}, false
 }
 
-func (f fixedLimits) Take(_ time.Time, e endpt.Endpoint) { f[e.ID].Permits-- }
+func (f fixedLimits) Take(_ time.Time, e endpt.Endpoint) {
+	if l := f[e.ID]; l != nil {
+		l.Permits--
+	}
+}
 
 // newLimited returns a scheduler with idle endpoints a and b.
 func newLimited(limits fixedLimits) *Scheduler {
@@ -113,3 +117,32 @@
 		t.Errorf("limited %v with a wait of %v, want a minute", limited, wait)
 	}
 }
+
+// An endpoint that wants nothing for a while gets no call for any purpose until then, unless
+// it starts anew.
+func TestClosedEndpoint(t *testing.T) {
+	s, now := newLimited(nil), time.Now()
+	for _, id := range []string{"a", "b"} {
+		if !s.Close(id, 1, now.Add(2*time.Second)) {
+			t.Fatalf("endpoint %s is not known", id)
+		}
+	}
+	if s.Close("a", 7, now.Add(time.Hour)) {
+		t.Error("another incarnation was closed")
+	}
+	for _, purpose := range []Purpose{PurposeRun, PurposeMove} {
+		if _, placed := s.TryPlace(now, Request{Service: "s", Purpose: purpose}); placed {
+			t.Errorf("a call was placed on a closed endpoint, purpose %d", purpose)
+		}
+	}
+	if wait, limited := s.LimitedWait(now, Request{Service: "s"}); !limited || wait != 2*time.Second {
+		t.Errorf("expected wait %v, limited %v, want 2 s", wait, limited)
+	}
+	s.Put(now, endpt.Endpoint{ID: "b", StartedMs: 2, Service: "s", Slots: 4})
+	if lease, placed := s.TryPlace(now, Request{Service: "s"}); !placed || lease.Endpoint.ID != "b" {
+		t.Error("an endpoint that started anew is closed")
+	}
+	if _, placed := s.TryPlace(now.Add(2*time.Second), Request{Service: "s", Exclude: []string{"b"}}); !placed {
+		t.Error("an endpoint is closed after the time that it named")
+	}
+}
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -68,16 +68,17 @@
 // Scheduler holds the known endpoints, their loads and the waiting calls. It is safe
 // for concurrent use.
 type Scheduler struct {
-	cfg        Config
-	mu         sync.Mutex
-	endpoints  map[string]*endpointState
-	evacuated  map[string]bool      // data centres that are out of service
-	peers      map[string]peerLoad  // by peer name
-	peerTotals map[Key]Load         // sum of the peers' loads, kept because every placement needs it
-	waiting    []*waiter            // in the order of placement, as last sorted
-	arrivals   uint64               // number of calls queued so far
-	departed   map[string]departure // endpoints that have left, by ID
-	holdUntil  time.Time            // of the newest epoch of the registry, see BeginEpoch
+	cfg         Config
+	mu          sync.Mutex
+	endpoints   map[string]*endpointState
+	evacuated   map[string]bool      // data centres that are out of service
+	peers       map[string]peerLoad  // by peer name
+	peerTotals  map[Key]Load         // sum of the peers' loads, kept because every placement needs it
+	waiting     []*waiter            // in the order of placement, as last sorted
+	arrivals    uint64               // number of calls queued so far
+	departed    map[string]departure // endpoints that have left, by ID
+	closedUntil time.Time            // the latest of all endpoints
+	holdUntil   time.Time            // of the newest epoch of the registry, see BeginEpoch
 }
 
 type endpointState struct {
@@ -95,6 +96,7 @@
 	suspectUntil    time.Time   // used until then only if there is no alternative
 	failureRate     float64     // moving average of failed calls, 0 to 1
 	missedAt        time.Time   // when a call would have been placed on it with a permit
+	closedUntil     time.Time   // it wants no calls until then
 }
 
 // peerLoad is a peer's last load report.
