Gates of an earlier rate hand out nothing

Cause, found by reading: in a fleet of over 12 a limit that passes a multiple of 10 changes the number of its homes; until all know, processes asked at the old and the new gates, and both handed out the whole rate. A limit that swings around such a number would get up to twice what it allows for as long.

Measured: router/limit TestGatesOfAnEarlierRate, for gates of four sizes and five changes.

--- a/internal/router/limit/gate.go
+++ b/internal/router/limit/gate.go
@@ -60,11 +60,11 @@
 		l.notServed[from] = a.Gate
 		return
 	}
-	w := l.words[a.Gate.Endpoint]
-	if w == nil || !w.Named { // the word about the limit, or its end, is under way
+	if !l.isOpen(a.Gate) {
 		l.notServed[from] = a.Gate
 		return
 	}
+	w := l.words[a.Gate.Endpoint]
 	g := l.gates[a.Gate]
 	if g == nil {
 		g = &gate{permits: 1, refilled: now}
@@ -78,9 +78,16 @@
 	g.admit(now, from, a, l.rate(a.Gate))
 }
 
+// isOpen reports whether the gate is one of those at which the endpoint's permits are handed
+// out. If it is not, the word about the limit, its change or its end is under way.
+func (l *Ledger) isOpen(g Gate) bool {
+	w := l.words[g.Endpoint]
+	return w != nil && w.Named && g.Parts == l.homes.parts(w.Rate) && g.Part < g.Parts
+}
+
 // rate returns the permits a second that this process hands out.
 func (l *Ledger) rate(g Gate) float64 {
-	return max(minRate, l.homes.share()*l.words[g.Endpoint].Rate/float64(max(1, g.Parts)))
+	return max(minRate, l.homes.share()*l.words[g.Endpoint].Rate/float64(g.Parts))
 }
 
 // admit queues as many of the calls of an Ask as are expected to get a permit before they
--- a/internal/router/limit/homes.go
+++ b/internal/router/limit/homes.go
@@ -109,12 +109,16 @@
 
 // gate returns the gate at which this process asks for permits.
 func (h *homes) gate(key sched.Key, rate float64) Gate {
-	g := Gate{Endpoint: key, Parts: 1}
-	if len(h.view.Live) > maxOneHome {
-		g.Parts = uint8(min(maxParts, max(1, math.Ceil(rate/ratePerHome))))
-		g.Part = uint8(h.ownHash % uint64(g.Parts))
+	parts := h.parts(rate)
+	return Gate{Endpoint: key, Part: uint8(h.ownHash % uint64(parts)), Parts: parts}
+}
+
+// parts returns the number of gates of an endpoint that accepts a rate.
+func (h *homes) parts(rate float64) uint8 {
+	if len(h.view.Live) <= maxOneHome {
+		return 1
 	}
-	return g
+	return uint8(min(maxParts, max(1, math.Ceil(rate/ratePerHome))))
 }
 
 // of returns the address of a gate's home.
--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -163,7 +163,7 @@
 		}
 	}
 	for key, g := range l.gates {
-		if now.Sub(g.usedAt) > idleTTL || !l.homes.isOwn(key) || !l.isNamed(key.Endpoint) {
+		if now.Sub(g.usedAt) > idleTTL || !l.homes.isOwn(key) || !l.isOpen(key) {
 			delete(l.gates, key)
 		}
 	}
--- a/internal/router/limit/limit_test.go
+++ b/internal/router/limit/limit_test.go
@@ -162,3 +162,35 @@
 		t.Errorf("answered %v, more due %v; want an answer without permits, and no more", answered, l.Any())
 	}
 }
+
+// While a rate changes, processes may ask at gates of the earlier one. Those must not hand
+// out permits beside the new ones.
+func TestGatesOfAnEarlierRate(t *testing.T) {
+	l, now := newLedger("home"), time.Now()
+	view := View{Known: 13}
+	for i := range 12 {
+		view.Live = append(view.Live, fmt.Sprintf("p%02d", i))
+	}
+	view.Live = append([]string{"home"}, view.Live...)
+	sum := 0
+	for _, rate := range []float64{9, 19, 9, 29, 19} {
+		l.Hear(now, engine, now, Statement{Named: true, Rate: rate})
+		asks := map[string]Ask{}
+		for parts := range uint8(4) {
+			for part := range parts {
+				asks[fmt.Sprint(parts, part)] = Ask{Gate: Gate{Endpoint: sched.KeyOf("e"), Part: part, Parts: parts}, Calls: 30, Patience: time.Second}
+			}
+		}
+		times, _ := handOut(l, now, time.Second, asks, view)
+		sum += len(times)
+		now = now.Add(time.Second)
+		for g := range l.gates {
+			if g.Parts != l.homes.parts(rate) {
+				t.Errorf("a gate of %d parts is open at a rate of %v", g.Parts, rate)
+			}
+		}
+	}
+	if sum == 0 {
+		t.Error("no permits were handed out")
+	}
+}
