Live peers are counted without sorting them

Cause: each notice received, about twelve a second, sorted the addresses of all live peers to count them: a fifth of the time of 390 simulated processes.

--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -90,7 +90,7 @@
 		return nil, nil
 	}
 	n := notice{
-		Address: g.cfg.Address, Region: g.cfg.Region, Leaving: g.recentlyLeaving(), Known: len(g.livePeers(now)),
+		Address: g.cfg.Address, Region: g.cfg.Region, Leaving: g.recentlyLeaving(), Known: g.liveCount(now),
 		Registry: registryReport{
 			State: report.State, Cursor: report.Cursor, AgeMs: report.Age.Milliseconds(), Reader: report.Reader,
 			Reachable: report.Reachable, GraceMs: report.Grace.Milliseconds(), Epoch: report.Epoch,
@@ -197,6 +197,16 @@
 	return live[:min(n, len(live))]
 }
 
+// liveCount returns the number of live peers.
+func (g *Group) liveCount(now time.Time) (count int) {
+	for _, p := range g.peers {
+		if p.aliveWithin(now, liveTTL) {
+			count++
+		}
+	}
+	return count
+}
+
 // livePeers returns the addresses of the live peers in order.
 func (g *Group) livePeers(now time.Time) []string {
 	var live []string
@@ -225,7 +235,7 @@
 	g.heard(now, n.Address, p)
 	p.registry, p.registryAt = report, now
 	p.needsNotice = p.needsNotice || report.Version().Before(own.Version())
-	live := len(g.livePeers(now))
+	live := g.liveCount(now)
 	p.needsMembers = p.needsMembers || n.Known < live*3/4
 	if n.Known < live/4 { // a process that has run for a while may know of half as many
 		p.newAt, p.newToLimits = now, now
