--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -90,7 +90,7 @@
 		return nil, nil
 	}
 	n := notice{
-		Address: g.cfg.Address, Region: g.cfg.Region, Leaving: g.recentlyLeaving(), Known: g.liveCount(now),
+		Address: g.cfg.Address, Region: g.cfg.Region, Leaving: g.recentlyLeaving(), Known: g.knownCount(now),
 		Registry: registryReport{
 			State: report.State, Cursor: report.Cursor, AgeMs: report.Age.Milliseconds(), Reader: report.Reader,
 			Reachable: report.Reachable, GraceMs: report.Grace.Milliseconds(), Epoch: report.Epoch,
@@ -197,10 +197,11 @@
 	return live[:min(n, len(live))]
 }
 
-// liveCount returns the number of live peers.
-func (g *Group) liveCount(now time.Time) (count int) {
+// knownCount returns the number of peers that were alive within memberTTL. Of those within
+// liveTTL, processes of a large fleet know different numbers.
+func (g *Group) knownCount(now time.Time) (count int) {
 	for _, p := range g.peers {
-		if p.aliveWithin(now, liveTTL) {
+		if p.aliveWithin(now, memberTTL) {
 			count++
 		}
 	}
@@ -235,9 +236,9 @@
 	g.heard(now, n.Address, p)
 	p.registry, p.registryAt = report, now
 	p.needsNotice = p.needsNotice || report.Version().Before(own.Version())
-	live := g.liveCount(now)
-	p.needsMembers = p.needsMembers || n.Known < live*3/4
-	if n.Known < live/4 { // a process that has run for a while may know of half as many
+	known := g.knownCount(now)
+	p.needsMembers = p.needsMembers || n.Known < known*3/4
+	if n.Known < known/4 { // a process that has run for a while may know of half as many
 		p.newAt, p.newToLimits = now, now
 	}
 	if n.Standby > 0 {
