--- a/internal/router/peers/crash_test.go
+++ b/internal/router/peers/crash_test.go
@@ -100,6 +100,13 @@
 
 func newCrashFleet(t *testing.T, processes, endpoints int) *crashFleet {
 	t.Helper()
+	f := newMetFleet(processes, endpoints)
+	f.run(t, 3*time.Second)
+	return f
+}
+
+// newMetFleet returns a fleet whose processes know each other but have not sent anything.
+func newMetFleet(processes, endpoints int) *crashFleet {
 	f := &crashFleet{fleet: newFleetOf(processes, endpoints), blames: map[string]*knownCrashes{}}
 	odd := false
 	for address, g := range f.groups { // two regions, as on the platform
@@ -109,7 +116,6 @@
 		f.watch(address)
 	}
 	f.meet()
-	f.run(t, 3*time.Second)
 	return f
 }
 
