A lone call asks for a permit before it is refused

Cause, found by reading: a call whose endpoints all name limits was expected to wait for a whole interval of the rate, also when nobody waited and the home had a permit saved up. At a low rate that is longer than any call waits, so it was refused without asking, and calls that are far apart could go on to be refused after the limit had ended.

Change: until a home has refused, one saved permit for each endpoint is assumed.

Measured: router/sched TestLoneCallAsksForAPermit failed (4 s expected), passes.

--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -191,8 +191,8 @@
 		return 0, false
 	case covered > ahead:
 		return 0, true
-	case open > 0:
-		return time.Duration(float64(ahead+1-covered) / rate * float64(time.Second)), true
+	case open > 0: // the homes may have saved up a permit for each
+		return time.Duration(float64(max(0, ahead+1-covered-open)) / rate * float64(time.Second)), true
 	}
 	return wait, true
 }
--- a/internal/router/sched/limits_test.go
+++ b/internal/router/sched/limits_test.go
@@ -146,3 +146,18 @@
 		t.Error("an endpoint is closed after the time that it named")
 	}
 }
+
+// A call that comes when nobody waits asks for a permit, however low the rate: its home may
+// have saved one up, and only a response tells that the limit has ended.
+func TestLoneCallAsksForAPermit(t *testing.T) {
+	limits := fixedLimits{"a": {Rate: 0.25}}
+	s := newLimited(limits)
+	req := Request{Service: "s", Exclude: []string{"b"}}
+	if wait, limited := s.LimitedWait(time.Now(), req); !limited || wait != 0 {
+		t.Errorf("expected wait %v, limited %v, want none before the home has refused", wait, limited)
+	}
+	limits["a"].Wait = 3 * time.Second
+	if wait, limited := s.LimitedWait(time.Now(), req); !limited || wait != 3*time.Second {
+		t.Errorf("expected wait %v, limited %v, want 3 s after the home has refused", wait, limited)
+	}
+}
