TestEpochFromPeer sets its peer before the watcher runs

Cause: with -race the test itself raced: it set the fake peer's copy while the watcher read it. Change: the copy, empty, is there from the start. Passes three times with -race.

--- a/internal/fleet/watch/epoch_test.go
+++ b/internal/fleet/watch/epoch_test.go
@@ -130,12 +130,14 @@
 // A process that follows a peer takes the newer epoch from it.
 func TestEpochFromPeer(t *testing.T) {
 	peers := &fakePeers{count: 2}
-	withWatcher(t, func(*fixture) Peers { peers.isEntryPoint = true; return peers }, func(b *fixture) {
+	withWatcher(t, func(b *fixture) Peers {
+		peers.isEntryPoint, peers.copy = true, b.peer
+		return peers
+	}, func(b *fixture) {
 		b.write(keyTable, "4")
 		time.Sleep(settle)
 		b.update(func(r *fakeRegistry) { r.unavailable = true })
 		b.peer.Replace([]mirror.Item{{Key: keyTable, Value: []byte("7"), Revision: 2}}, mirror.Position{Epoch: 1, Cursor: 2, AsOf: time.Now(), Reader: "peer"})
-		peers.copy = b.peer
 		time.Sleep(settle)
 		b.expectVersion(t, 7)
 		b.expect(t, "the older copy lacks the endpoint", true)
