--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -23,7 +23,7 @@
 	unaryWaitShare = 0.8
 	// limitedWaitShare is the fraction of its wait that a call may be queued for if all its
 	// endpoints name limits. Their rates tell early that there will be no room.
-	limitedWaitShare = 0.7
+	limitedWaitShare = 0.6
 	// latestStartShare is the fraction of the target within which a call must be
 	// placed to still meet it. The endpoint needs the rest to respond.
 	latestStartShare = 0.7
