Tests of limits read the number of refusals under its lock

Cause: found by reading; with -race calls still under way could race with the test. Measured: with -race TestLimitEnds/4, TestProcessThatJoinsLearnsOfLimits/4 and TestOneEndpointNamesALimit/4 pass; the larger ones were not repeated.

--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -160,6 +160,13 @@
 	lease.Release(time.Now(), sched.OutcomeSuccess)
 }
 
+// refusals returns the number of refused calls.
+func (f *limitFleet) refusals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 // expectBound checks the platform's bound between two times. Calls from excused processes
 // do not count.
 func (f *limitFleet) expectBound(t *testing.T, e *limitedEndpoint, rate float64, from, until time.Time, excused ...string) {
@@ -235,8 +242,8 @@
 		since := f.say(named(3), f.endpoints[0])
 		f.play(t, 12*time.Second)
 		f.expectBound(t, f.endpoints[0], 3, since.Add(limitContact), time.Now())
-		if f.refused > 0 {
-			t.Errorf("%d calls refused while three endpoints have no limit", f.refused)
+		if refused := f.refusals(); refused > 0 {
+			t.Errorf("%d calls refused while three endpoints have no limit", refused)
 		}
 	}, limitFleetSizes...)
 }
@@ -357,9 +364,9 @@
 		f.play(t, 6*time.Second)
 		f.say(limit.Statement{}, f.endpoints...)
 		f.play(t, 3*time.Second)
-		before := f.refused
+		before := f.refusals()
 		f.play(t, 3*time.Second)
-		if refused := f.refused - before; refused > 0 {
+		if refused := f.refusals() - before; refused > 0 {
 			t.Errorf("%d calls refused later than 3 s after the limits ended", refused)
 		}
 	}, limitFleetSizes...)
