One type bounds the bytes of each kind of peer message; permits in a file of their own

Change: type allowance; permits.go; limits_fleet_test.go holds the simulated fleet, epoch_test.go what is about epochs.

--- a/internal/router/peers/crash.go
+++ b/internal/router/peers/crash.go
@@ -49,10 +49,9 @@
 
 // crashReports holds when this process sent crash reports.
 type crashReports struct {
-	state         uint64 // of Blame, as of the last round to changeFanout others
-	lastRound     time.Time
-	allowance     float64 // bytes that may be spent now
-	lastAllowance time.Time
+	state     uint64 // of Blame, as of the last round to changeFanout others
+	lastRound time.Time
+	allowance allowance
 }
 
 // encodeCrashes returns the wire form of a report: the number of parts; of each part its
@@ -178,9 +177,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := &g.crashes
-	s.allowance = min(crashBurst, s.allowance+crashBytesPerSecond*now.Sub(s.lastAllowance).Seconds())
-	s.lastAllowance = now
-	if s.allowance <= 0 || now.Sub(s.lastRound) < crashInterval {
+	if !s.allowance.refill(now) || now.Sub(s.lastRound) < crashInterval {
 		return nil, nil
 	}
 	packets := g.crashRound(now, report, state)
@@ -193,9 +190,7 @@
 			return nil, err
 		}
 		packets[i].Raw = raw
-		spent := float64(len(raw) * len(p.To))
-		s.allowance -= spent
-		g.allowance -= spent
+		spend(len(raw), len(p.To), &s.allowance, &g.loadAllowance)
 	}
 	return packets, nil
 }
--- a/internal/router/peers/load.go
+++ b/internal/router/peers/load.go
@@ -134,15 +134,14 @@
 			return nil
 		}
 		raw, err := msgpack.Marshal(m)
-		g.allowance -= float64(len(raw) * len(to))
+		spend(len(raw), len(to), &g.loadAllowance)
 		packets = append(packets, Packet{To: to, Raw: raw})
 		return err
 	}
-	g.allowance = min(loadBurst, g.allowance+loadBytesPerSecond*now.Sub(g.lastAllowance).Seconds())
-	g.lastAllowance = now
+	maySend := g.loadAllowance.refill(now)
 	var errs []error
 	since := now.Sub(g.lastReport)
-	if g.allowance > 0 && (urgent || len(changes) > 0 && since >= time.Duration(len(active))*loadBatchPerPartner) || since >= loadHeartbeat {
+	if maySend && (urgent || len(changes) > 0 && since >= time.Duration(len(active))*loadBatchPerPartner) || since >= loadHeartbeat {
 		if len(changes) > 0 {
 			g.reportSequence++
 		}
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -20,7 +20,6 @@
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/fleet/mirror"
-	"github.com/mimosalock/mimosalock/internal/router/limit"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
@@ -99,15 +98,13 @@
 
 	lastLoads      map[sched.Key]sched.Load // as in the newest load report
 	lastReport     time.Time
-	reportSequence uint32  // of the newest load report
-	allowance      float64 // bytes that may be spent on load reports now
-	lastAllowance  time.Time
+	reportSequence uint32 // of the newest load report
+	loadAllowance  allowance
 
 	crashes crashReports
 
-	limits        limitRounds
-	lastLimitView limit.View
-	limitViewAt   time.Time
+	limits  limitRounds
+	permits permitRounds
 
 	sequence   uint64 // of the newest gossip
 	lastGossip time.Time
@@ -127,7 +124,13 @@
 
 // New returns a group whose only peers are the seeds.
 func New(cfg Config) *Group {
-	g := &Group{cfg: cfg, peers: map[string]*peer{}, senders: map[uint32]string{}, leaving: map[string]leavingRecord{}}
+	g := &Group{
+		cfg: cfg, peers: map[string]*peer{}, senders: map[uint32]string{}, leaving: map[string]leavingRecord{},
+		loadAllowance: allowance{perSecond: loadBytesPerSecond, burst: loadBurst},
+	}
+	g.crashes.allowance = allowance{perSecond: crashBytesPerSecond, burst: crashBurst}
+	g.limits.allowance = allowance{perSecond: limitBytesPerSecond, burst: limitBurst}
+	g.permits.allowance = allowance{perSecond: permitBytesPerSecond, burst: permitBurst}
 	g.cells.address = cfg.Address
 	g.cells.update(1)
 	g.SetSeeds(cfg.Seeds)
--- a/internal/router/peers/peers_test.go
+++ b/internal/router/peers/peers_test.go
@@ -213,37 +213,6 @@
 	}
 }
 
-// A copy of a later epoch is newer than one of an earlier epoch with a higher revision.
-func TestNewerEpoch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("a", "b", "c")
-		f.copies.of("a").report = mirror.Report{Epoch: 2, State: 3, Cursor: 3, Reachable: true}
-		f.copies.of("c").report = mirror.Report{Epoch: 1, State: 8, Cursor: 9, Reachable: true}
-		f.rounds(t, 2*time.Second)
-		expectNewerVersion(t, f, "b", mirror.Version{Epoch: 1, State: 8}, time.Second, "a")
-		expectNewerVersion(t, f, "b", mirror.Version{Epoch: 2, State: 3}, time.Second, "")
-		expectNewerVersion(t, f, "b", mirror.Version{Epoch: 2, State: 2}, time.Second, "a")
-	})
-}
-
-// A report of another epoch must not mark an endpoint that has registered since.
-func TestLeavingOfAnotherEpochIsIgnored(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("a", "b", "c")
-		f.copies.of("a").report = mirror.Report{Epoch: 1, State: 30, Cursor: 30, Reachable: true}
-		f.copies.of("b").report = mirror.Report{Epoch: 2, State: 5, Cursor: 5, Reachable: true}
-		f.copies.of("c").report = mirror.Report{Epoch: 1, State: 29, Cursor: 29, Reachable: true}
-		f.rounds(t, 2*time.Second)
-		f.groups["a"].ReportLeaving(time.Now(), endpt.Endpoint{ID: "e", StartedMs: 1, Revision: 30})
-		f.rounds(t, 500*time.Millisecond)
-		for address, want := range map[string]int{"b": 1, "c": 0} {
-			if got := f.schedulers[address].Usable(time.Now(), sched.Request{Service: "s"}); got != want {
-				t.Errorf("%s uses %d endpoints, want %d", address, got, want)
-			}
-		}
-	})
-}
-
 // The reader names the first live processes that can reach the registry to take over
 // from it.
 func TestStandbys(t *testing.T) {
