A refused call is told when its endpoints want calls again

Cause, found by reading: a call that an endpoint turned away (503) was told to come back in 50 ms, also when that endpoint and all others had said that they want nothing for seconds. Only calls refused before a send got the right time. Change: the time at which there may be room goes before the one for the reason of a refusal. Measured: router/serve TestRefusedCallIsToldWhenThereIsRoom failed (50 ms, want 2.9 s or more), passes. New beside it, without network: refusals at once for each kind of call, spread out, and a queued call that ends when the last endpoint says no.

--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -217,9 +217,13 @@
 	return ReasonCallerGone
 }
 
-// retryAfter returns how long a refused caller should wait before a retry. The
-// more calls wait, the longer it is, which spreads the retries over time.
+// retryAfter returns how long a refused caller should wait before a retry. If all
+// endpoints name limits, that is when there may be room. The more calls wait, the longer it
+// is, which spreads the retries over time.
 func (s *Server) retryAfter(call *desc.Call, reason Reason) time.Duration {
+	if wait, limited := s.Scheduler.LimitedWait(time.Now(), sched.Request{Service: call.Service, Regions: call.Regions}); limited && reason != ReasonPromptBlocked {
+		return max(refusedRetryAfter, wait+rand.N(wait/2+limitedRetrySpread))
+	}
 	switch reason {
 	case ReasonBusy:
 		return busyRetryAfter + time.Duration(s.Scheduler.Waiting(call.Service))*busyRetryPerWaiting
@@ -227,9 +231,6 @@
 		return noEndpointRetryAfter
 	case ReasonPromptBlocked:
 		return promptBlockedRetryAfter
-	case ReasonLimited:
-		wait, _ := s.Scheduler.LimitedWait(time.Now(), sched.Request{Service: call.Service, Regions: call.Regions})
-		return wait + rand.N(wait/2+limitedRetrySpread)
 	}
 	return refusedRetryAfter
 }
