A new home hands out permits at once

Cause: a home that took over handed out nothing for a second, against two homes at the same time. Change: it is out, with the record of when the view changed.

--- a/internal/router/limit/gate.go
+++ b/internal/router/limit/gate.go
@@ -15,8 +15,6 @@
 	minRate = 0.25
 	// savedTime is for how long a home saves up permits that nobody asks for.
 	savedTime = 250 * time.Millisecond
-	// settleDebt is how long a new home hands out nothing if another may still do so.
-	settleDebt = time.Second
 
 	// A process that gets no permit is told not to ask again for so long that each gate is
 	// asked about asksPerPermit times as often as it hands out permits, and asksPerSecond.
@@ -35,7 +33,7 @@
 
 // gate hands out permits.
 type gate struct {
-	permits  float64 // that can be handed out now, negative while the home settles
+	permits  float64 // that can be handed out now
 	refilled time.Time
 	usedAt   time.Time
 	askers   []*asker
@@ -64,13 +62,9 @@
 		l.notServed[from] = a.Gate
 		return
 	}
-	w := l.words[a.Gate.Endpoint]
 	g := l.gates[a.Gate]
 	if g == nil {
 		g = &gate{permits: 1, refilled: now}
-		if now.Sub(l.homes.changedAt) < settleTime && now.Sub(w.changed) > settleDebt {
-			g.permits = -settleDebt.Seconds() * l.rate(a.Gate)
-		}
 		l.gates[a.Gate] = g
 	}
 	g.usedAt = now
--- a/internal/router/limit/homes.go
+++ b/internal/router/limit/homes.go
@@ -25,9 +25,6 @@
 	// no home until it answers one. It is then asked every probeInterval.
 	maxUnanswered = 2
 	probeInterval = 3 * time.Second
-	// settleTime is how long after a change of the view two processes may both take
-	// themselves for an endpoint's home.
-	settleTime = 5 * time.Second
 	// partitionFactor times the share of the known processes that a home sees is the part of
 	// the rate that it hands out. Homes of separate parts of a fleet then hand out at most
 	// partitionFactor times the rate together.
@@ -45,7 +42,6 @@
 	own       string
 	ownHash   uint64
 	view      View
-	changedAt time.Time
 	cache     map[Gate]string
 	questions map[string]*question // by address
 }
@@ -66,7 +62,7 @@
 // update replaces the view and finds the processes that do not answer.
 func (h *homes) update(now time.Time, v View) {
 	if !slices.Equal(v.Live, h.view.Live) {
-		h.changed(now)
+		clear(h.cache)
 	}
 	h.view = v
 	for address, q := range h.questions {
@@ -80,16 +76,11 @@
 		q.asked = time.Time{}
 		if q.unanswered++; q.unanswered >= maxUnanswered {
 			q.silent, q.probeAt = true, now.Add(probeInterval)
-			h.changed(now)
+			clear(h.cache)
 		}
 	}
 }
 
-func (h *homes) changed(now time.Time) {
-	h.changedAt = now
-	clear(h.cache)
-}
-
 // dueProbes returns the silent processes that are to be asked again, each with a gate.
 func (h *homes) dueProbes(now time.Time) map[string]Gate {
 	due := map[string]Gate{}
@@ -166,9 +157,9 @@
 }
 
 // answered records that a process has answered.
-func (h *homes) answered(now time.Time, address string) {
+func (h *homes) answered(address string) {
 	if h.isSilent(address) {
-		h.changed(now)
+		clear(h.cache)
 	}
 	delete(h.questions, address)
 }
--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -107,7 +107,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(m.Answers) > 0 {
-		l.homes.answered(now, from)
+		l.homes.answered(from)
 	}
 	for _, a := range m.Asks {
 		l.receiveAsk(now, from, a)
--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -220,3 +220,30 @@
 		t.Errorf("%+v, want %+v", back, word)
 	}
 }
+
+// Guards against a limit that is exceeded while processes come and go, so that its home moves
+// again and again and views differ.
+func TestHomeOfALimitMoves(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := newLimitFleet(t, processes, 2)
+		f.demand = 100
+		since := f.say(named(3), f.endpoints...)
+		f.play(t, limitContact)
+		for n := range 8 {
+			if home := f.homeOf(f.endpoints[0]); home != "10.0.0.0:7200" { // the seed stays
+				delete(f.groups, home)
+			}
+			address := fmt.Sprintf("10.0.9.%d:7200", n)
+			f.start(address, 1<<60+uint64(n), "10.0.0.0:7200")
+			f.watch(address)
+			for _, e := range f.endpoints {
+				f.schedulers[address].Put(time.Now(), e.Endpoint)
+			}
+			f.play(t, 1500*time.Millisecond)
+		}
+		for _, e := range f.endpoints {
+			f.expectBound(t, e, 3, since.Add(limitContact), time.Now())
+		}
+	}, 8, 103)
+}
