Processes of a large fleet choose the same home though they forget each other

Cause, found by reading: homes were chosen among the processes heard of within a minute. In a fleet of hundreds a process hears of each other one about twice a minute and forgets a twentieth for a while; two processes then take themselves for an endpoint's home, and hand out its rate twice. Change: a process may be a home until three minutes after its last sign of life. Dead ones are found by their missing answers, as before.

--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -247,3 +247,28 @@
 		}
 	}, 8, 103)
 }
+
+// Guards against two homes in a large fleet, where a process hears of each other one only now
+// and then and forgets some meanwhile.
+func TestLimitWhileMembersAreForgotten(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := newLimitFleet(t, processes, 12)
+		f.demand = 400
+		since := f.say(named(3), f.endpoints...)
+		for range 24 {
+			f.play(t, 500*time.Millisecond)
+			for _, g := range f.groups {
+				for _, p := range g.peers {
+					if rand.N(10) == 0 {
+						p.lastAlive = p.lastAlive.Add(-memberTTL)
+					}
+				}
+			}
+		}
+		for _, e := range f.endpoints {
+			f.expectBound(t, e, 3, since.Add(limitContact), time.Now())
+		}
+		f.expectUse(t, f.endpoints, 3, since.Add(limitContact), time.Now())
+	}, 103)
+}
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -130,6 +130,7 @@
 	}
 	g.crashes.allowance = allowance{perSecond: crashBytesPerSecond, burst: crashBurst}
 	g.limits.allowance = allowance{perSecond: limitBytesPerSecond, burst: limitBurst}
+	g.permits.forgotten = map[string]forgottenPeer{}
 	g.permits.allowance = allowance{perSecond: permitBytesPerSecond, burst: permitBurst}
 	g.cells.address = cfg.Address
 	g.cells.update(1)
@@ -222,6 +223,7 @@
 			g.cfg.Log.Info("peer_lost", zap.String("peer", address), zap.Duration("silent", now.Sub(p.lastMessage)))
 		}
 		if !p.aliveWithin(now, memberTTL) && !slices.Contains(g.seeds, address) {
+			g.permits.forget(now, address, p)
 			delete(g.peers, address)
 			delete(g.senders, senderKey(address))
 		}
--- a/internal/router/peers/permits.go
+++ b/internal/router/peers/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,10 @@
 	// its processes counts as live.
 	regionSilence      = 3 * time.Second
 	permitViewInterval = 250 * time.Millisecond
+	// homeTTL is how long a process without a sign of life may still be a home. Processes of
+	// a large fleet hear of each other seldom, and two that know different ones would choose
+	// two homes. One that has died is found by its missing answers.
+	homeTTL = 3 * time.Minute
 )
 
 // permitRounds holds what this process keeps between two rounds of messages about permits.
@@ -30,6 +35,20 @@
 	sent      bool // there were messages in the last round
 	view      limit.View
 	viewAt    time.Time
+	forgotten map[string]forgottenPeer // peers that were removed for lack of a sign of life, by address
+}
+
+type forgottenPeer struct {
+	region    string
+	lastAlive time.Time
+}
+
+// forget keeps what is needed of a peer that is removed.
+func (r *permitRounds) forget(now time.Time, address string, p *peer) {
+	maps.DeleteFunc(r.forgotten, func(_ string, f forgottenPeer) bool { return now.Sub(f.lastAlive) >= homeTTL })
+	if !p.lastAlive.IsZero() {
+		r.forgotten[address] = forgottenPeer{p.region, p.lastAlive}
+	}
 }
 
 // permits is a limit.Message.
@@ -158,15 +177,22 @@
 		}
 	}
 	v := limit.View{Live: []string{g.cfg.Address}, Known: 1}
-	for address, p := range g.peers {
-		if !p.aliveWithin(now, memberTTL) {
-			continue
-		}
+	add := func(address, region string, silent bool) {
 		v.Known++
-		if now.Sub(heard[p.region]) < regionSilence && !(p.partner && !p.lastMessage.IsZero() && now.Sub(p.lastMessage) >= silentPartner) {
+		if !silent && now.Sub(heard[region]) < regionSilence {
 			v.Live = append(v.Live, address)
 		}
 	}
+	for address, p := range g.peers {
+		if p.aliveWithin(now, homeTTL) {
+			add(address, p.region, p.partner && !p.lastMessage.IsZero() && now.Sub(p.lastMessage) >= silentPartner)
+		}
+	}
+	for address, p := range g.permits.forgotten {
+		if g.peers[address] == nil && now.Sub(p.lastAlive) < homeTTL {
+			add(address, p.region, false)
+		}
+	}
 	slices.Sort(v.Live)
 	g.permits.view = v
 	return v
