Tests of limits do not read a fleet's maps while processes are added

Cause: calls of a simulated fleet looked up their process's scheduler when they began to run, and TestProcessThatJoinsLearnsOfLimits and TestHomeOfALimitMoves add processes meanwhile. Change: the lookup is made where the call is started. The programs are not affected.

--- a/internal/router/peers/limits_fleet_test.go
+++ b/internal/router/peers/limits_fleet_test.go
@@ -96,8 +96,9 @@
 			if f.frozen[address] {
 				continue
 			}
+			s, ledger := f.schedulers[address], f.ledgers[address] // processes may be added while calls run
 			for due := f.demand * tick.Seconds() / float64(len(f.groups)); due > rand.Float64(); due-- {
-				f.calls.Go(func() { f.call(address) })
+				f.calls.Go(func() { f.call(address, s, ledger) })
 			}
 		}
 		arrived := f.underway
@@ -129,9 +130,8 @@
 	}
 }
 
-// call makes one call at a process.
-func (f *limitFleet) call(address string) {
-	s, ledger := f.schedulers[address], f.ledgers[address]
+// call makes one call at the process with an address, scheduler and ledger.
+func (f *limitFleet) call(address string, s *sched.Scheduler, ledger *limit.Ledger) {
 	now, req := time.Now(), sched.Request{Service: limitedService}
 	lease, placed := s.TryPlace(now, req)
 	if !placed {
