A process that starts asks for the limits before it sends

Cause, found by reading: a process that starts anew knew no limits and sent as if there were none, until a peer told it (up to a second) or the first answer did. Peers recognised a new process by how few others it knew: in a fleet of four, never. Change: it asks the seeds and two peers each 60 ms and holds calls until one answers, for at most 0.3 s. A process that waits for an answer itself gives none, so that several that start at once do not tell each other that there are no limits.

--- a/internal/router/peers/crash.go
+++ b/internal/router/peers/crash.go
@@ -181,7 +181,7 @@
 		return nil, nil
 	}
 	packets := g.crashRound(now, report, state)
-	if address, found := g.newcomer(now, func(p *peer) *time.Time { return &p.newAt }); found {
+	if address, found := g.newcomer(now); found {
 		packets = append(packets, Packet{To: []string{address}, Raw: encodeCrashes(report, maxCrashBytes)})
 	}
 	for i, p := range packets {
@@ -249,12 +249,11 @@
 	return to
 }
 
-// newcomer returns a peer that has just started and was not told yet. since returns
-// where a peer keeps that.
-func (g *Group) newcomer(now time.Time, since func(*peer) *time.Time) (address string, found bool) {
+// newcomer returns a peer that has just started and was not told yet.
+func (g *Group) newcomer(now time.Time) (address string, found bool) {
 	for address, p := range g.peers {
-		if at := since(p); !at.IsZero() && now.Sub(*at) < newcomerTTL {
-			*at = time.Time{}
+		if !p.newAt.IsZero() && now.Sub(p.newAt) < newcomerTTL {
+			p.newAt = time.Time{}
 			return address, true
 		}
 	}
--- a/internal/router/peers/limits.go
+++ b/internal/router/peers/limits.go
@@ -20,8 +20,7 @@
 	limitRepeatInterval = time.Second
 	limitRepeatPeers    = 1
 
-	maxLimitWords    = 12 // in a message
-	maxNewcomerWords = 40 // in one to a process that has just started
+	maxLimitWords = 12 // in a message
 
 	// limitBytesPerSecond bounds what a process spends on words about limits; limitBurst is
 	// how much it may save up. It spends as much less on load reports.
@@ -86,34 +85,27 @@
 	if g.cfg.Limits == nil {
 		return nil, nil
 	}
-	words, state := g.cfg.Limits.Words(now, maxNewcomerWords)
-	if len(words) == 0 {
-		return nil, nil
-	}
+	words, state := g.cfg.Limits.Words(now, maxAnswerWords)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := &g.limits
-	if !r.allowance.refill(now) || now.Sub(r.lastRound) < limitInterval {
-		return nil, nil
-	}
 	var packets []Packet
-	add := func(to []string, words []limit.Word) error {
-		if len(to) == 0 {
-			return nil
-		}
-		raw, err := msgpack.Marshal(message{Limits: lo.Map(words, func(w limit.Word, _ int) limitWord { return encodeWord(w) })})
-		spend(len(raw), len(to), &r.allowance, &g.loadAllowance)
+	add := func(to []string, m message, from *allowance) error {
+		raw, err := msgpack.Marshal(m)
+		spend(len(raw), len(to), from, &g.loadAllowance)
 		packets = append(packets, Packet{To: to, Raw: raw})
 		return err
 	}
-	if err := add(g.limitRecipients(now, state), words[:min(maxLimitWords, len(words))]); err != nil {
-		return nil, err
-	}
-	if address, found := g.newcomer(now, func(p *peer) *time.Time { return &p.newToLimits }); found {
-		if err := add([]string{address}, words); err != nil {
-			return nil, err
+	encoded := lo.Map(words, func(w limit.Word, _ int) limitWord { return encodeWord(w) })
+	if r := &g.limits; len(words) > 0 && r.allowance.refill(now) && now.Sub(r.lastRound) >= limitInterval {
+		if to := g.limitRecipients(now, state); len(to) > 0 {
+			if err := add(to, message{Limits: encoded[:min(maxLimitWords, len(encoded))]}, &r.allowance); err != nil {
+				return nil, err
+			}
 		}
 	}
+	if to := g.nextLimitAsker(now); len(to) > 0 {
+		return packets, add(to, message{Limits: encoded, LimitsAnswer: true}, &g.limitAsks.allowance)
+	}
 	return packets, nil
 }
 
@@ -140,11 +132,15 @@
 	return to
 }
 
-// receiveLimits processes a peer's words about limits.
-func (g *Group) receiveLimits(now time.Time, words []limitWord) {
+// receiveLimits processes a peer's words about limits. isAnswer says that they are all that
+// it knows.
+func (g *Group) receiveLimits(now time.Time, words []limitWord, isAnswer bool) {
 	if g.cfg.Limits == nil {
 		return
 	}
+	if isAnswer {
+		defer g.receiveLimitsAnswer(now)
+	}
 	if g.cfg.Limits.Merge(now, lo.Map(words, func(w limitWord, _ int) limit.Word { return w.word() })) {
 		g.cfg.Scheduler.PlaceWaiting(now)
 	}
--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -185,6 +185,61 @@
 	}, 4, 103)
 }
 
+// Guards against a process that is started again and sends calls before it has asked for
+// the limits that it has forgotten. Its peers do not take it for a new one.
+func TestProcessThatRestartsAsksForLimits(t *testing.T) {
+	t.Parallel()
+	for _, loss := range []float64{0, 0.2} {
+		t.Run(fmt.Sprintf("loss of %g", loss), func(t *testing.T) {
+			forFleets(t, func(t *testing.T, processes int) {
+				f := newLimitFleet(t, processes, 12)
+				f.demand = 100
+				f.say(named(3), f.endpoints...)
+				f.play(t, limitContact)
+				f.demand, f.loss = 0, loss // it can only learn from its peers
+				const address = "10.0.0.1:7200"
+				f.start(address, 1<<60, "10.0.0.0:7200")
+				f.watch(address)
+				for _, e := range f.endpoints {
+					f.schedulers[address].Put(time.Now(), e.Endpoint)
+				}
+				restarted := time.Now()
+				for !f.groups[address].KnowsLimits(time.Now()) {
+					f.play(t, crashTick)
+				}
+				if took := time.Since(restarted); took >= limitAskWait {
+					t.Errorf("nobody answered within %v", took)
+				}
+				for _, e := range f.endpoints {
+					if _, limited := f.ledgers[address].Limit(time.Now(), e.Endpoint); !limited {
+						t.Errorf("a process that has asked does not know of the limit of %s", e.ID)
+					}
+				}
+			}, 2, 4, 103)
+		})
+	}
+}
+
+// Guards against a process that starts while no other can answer and waits without end.
+func TestProcessThatStartsAloneKnowsLimits(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := newLimitFleet(t, processes, 1)
+		const address = "10.0.0.1:7200"
+		f.partitioned[address] = true
+		f.start(address, 1<<60, "10.0.0.0:7200")
+		f.watch(address)
+		f.play(t, limitAskWait/2)
+		if f.groups[address].KnowsLimits(time.Now()) {
+			t.Errorf("it does not wait for an answer")
+		}
+		f.play(t, limitAskWait)
+		if !f.groups[address].KnowsLimits(time.Now()) {
+			t.Errorf("it still waits")
+		}
+	}, 4)
+}
+
 // Guards against messages of limits in a fleet in which no endpoint names one.
 func TestNothingIsSentWithoutLimits(t *testing.T) {
 	t.Parallel()
--- a/internal/router/peers/message.go
+++ b/internal/router/peers/message.go
@@ -19,6 +19,10 @@
 	Crashes []byte      `msgpack:"c,omitempty"` // an encoded blame.Report
 	Limits  []limitWord `msgpack:"w,omitempty"`
 	Permits *permits    `msgpack:"p,omitempty"`
+	// LimitsAsker is the address of a process that has just started and asks for the limits.
+	LimitsAsker string `msgpack:"k,omitempty"`
+	// LimitsAnswer says that Limits, which may be empty, answer such a question.
+	LimitsAnswer bool `msgpack:"t,omitempty"`
 
 	Address     string                 `msgpack:"a,omitempty"` // of the sender, IP:port
 	Region      string                 `msgpack:"r,omitempty"`
@@ -53,7 +57,7 @@
 // Outgoing returns the packets that are due now. It is meant to be called periodically.
 func (g *Group) Outgoing(now time.Time) ([]Packet, error) {
 	var packets []Packet
-	for _, due := range []func(time.Time) ([]Packet, error){g.noticePackets, g.permitPackets, g.limitPackets, g.crashPackets, g.loadPackets, g.gossipPackets} {
+	for _, due := range []func(time.Time) ([]Packet, error){g.noticePackets, g.permitPackets, g.limitPackets, g.limitAskPackets, g.crashPackets, g.loadPackets, g.gossipPackets} {
 		next, err := due(now)
 		if err != nil {
 			return nil, fmt.Errorf("encode peer message: %w", err)
@@ -115,8 +119,10 @@
 		return g.receiveLoad(now, m.Load)
 	case m.Crashes != nil:
 		return g.receiveCrashes(now, m.Crashes)
-	case m.Limits != nil:
-		g.receiveLimits(now, m.Limits)
+	case m.Limits != nil, m.LimitsAnswer:
+		g.receiveLimits(now, m.Limits, m.LimitsAnswer)
+	case m.LimitsAsker != "" && m.LimitsAsker != own:
+		g.receiveLimitsAsker(m.LimitsAsker)
 	case m.Permits != nil:
 		g.receivePermits(now, m.Permits)
 	case m.Query != nil:
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -239,7 +239,7 @@
 	known := g.knownCount(now)
 	p.needsMembers = p.needsMembers || n.Known < known*3/4
 	if n.Known < known/4 { // a process that has run for a while may know of half as many
-		p.newAt, p.newToLimits = now, now
+		p.newAt = now
 	}
 	if n.Standby > 0 {
 		g.standby, g.standbyAt = n.Standby, now
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -1,8 +1,8 @@
 // Package peers exchanges state between the gateway processes: the load that each
 // has placed, the endpoints that are leaving (get no new work), how current each
 // process's copy of the registry is, under which calls engines crashed, which limits
-// endpoints name and permits for calls to those, and which processes there are. A message that is lost is made up for by a later one. The package
-// does no I/O.
+// endpoints name and permits for calls to those, and which processes there are. A message
+// that is lost is made up for by a later one. The package does no I/O.
 //
 // A large region is divided into cells. The processes of a cell report every change of
 // their load to each other (load.go), so that each knows the whole load of the
@@ -55,7 +55,6 @@
 	needsNotice  bool          // its copy was behind this process's
 	needsMembers bool          // it knew of fewer processes than this one
 	newAt        time.Time     // when it last knew of few processes, zero once it got a report of crashes
-	newToLimits  time.Time     // the same, zero once it got words about limits
 	lastIntro    time.Time     // when it was last contacted as a seed that has not responded
 }
 
@@ -103,8 +102,9 @@
 
 	crashes crashReports
 
-	limits  limitRounds
-	permits permitRounds
+	limits    limitRounds
+	limitAsks limitAsks
+	permits   permitRounds
 
 	sequence   uint64 // of the newest gossip
 	lastGossip time.Time
@@ -130,6 +130,7 @@
 	}
 	g.crashes.allowance = allowance{perSecond: crashBytesPerSecond, burst: crashBurst}
 	g.limits.allowance = allowance{perSecond: limitBytesPerSecond, burst: limitBurst}
+	g.limitAsks.allowance = allowance{perSecond: answerBytesPerSecond, burst: answerBurst}
 	g.permits.forgotten = map[string]forgottenPeer{}
 	g.permits.allowance = allowance{perSecond: permitBytesPerSecond, burst: permitBurst}
 	g.cells.address = cfg.Address
