A home of a limit stays known to those that ask it and to those that would follow it

Three gaps: a message about permits was no sign of life of its sender; the answer of a home that had been forgotten by the group (a minute) could not be assigned to it, so that it counted as silent and was replaced while it went on; a home never heard of the process next in line, nor that one of it. Change: such messages are signs of life, also of forgotten processes; a home asks the three next in line every half second whether they respond. Such a question no longer joins the queue, where it cancelled what its sender waited for.

--- a/internal/router/limit/gate.go
+++ b/internal/router/limit/gate.go
@@ -36,7 +36,9 @@
 	permits  float64 // that can be handed out now
 	refilled time.Time
 	usedAt   time.Time
-	askers   []*asker
+	// announced is when the processes that would follow as the home were last told of this one.
+	announced time.Time
+	askers    []*asker
 }
 
 // asker is one process that asked for permits.
@@ -53,13 +55,17 @@
 
 // receiveAsk records an Ask of a process, which may be this one.
 func (l *Ledger) receiveAsk(now time.Time, from string, a Ask) {
-	if home := l.homes.of(a.Gate); home != l.cfg.Address {
+	home := l.homes.of(a.Gate)
+	switch {
+	case a.Calls == 0:
+		l.replies[from] = Answer{}
+		return
+	case home != l.cfg.Address:
 		l.probes[home] = a.Gate // the sender may have got no answer from it
-		l.notServed[from] = a.Gate
+		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout}
 		return
-	}
-	if !l.isOpen(a.Gate) {
-		l.notServed[from] = a.Gate
+	case !l.isOpen(a.Gate):
+		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout}
 		return
 	}
 	g := l.gates[a.Gate]
@@ -177,24 +183,39 @@
 	m.Answers = append(m.Answers, answer)
 }
 
-// probe asks the homes that others may not reach, and those that were silent, whether they
-// respond.
+// announce asks the processes that would follow this one as the home of a gate whether they
+// respond. They learn by it that this process is alive: one that forgot it would hand out the
+// same permits again.
+func (l *Ledger) announce(now time.Time) {
+	for key, g := range l.gates {
+		if now.Sub(g.announced) < announceInterval {
+			continue
+		}
+		g.announced = now
+		for _, address := range l.homes.successors(key) {
+			l.probes[address] = key
+		}
+	}
+}
+
+// probe asks processes whether they respond: those that this one wants to know of, and the
+// homes that were silent.
 func (l *Ledger) probe(now time.Time, out outbox) {
 	maps.Copy(l.probes, l.homes.dueProbes(now))
-	for home, gate := range l.probes {
-		m := out.to(home)
+	for address, gate := range l.probes {
+		m := out.to(address)
 		m.Asks = append(m.Asks, Ask{Gate: gate})
-		l.homes.asked(now, home, gate)
+		l.homes.asked(now, address, gate)
 	}
 	clear(l.probes)
 }
 
-// answerNotServed answers the processes that this one has no permits for, so that they do
-// not take it for silent.
-func (l *Ledger) answerNotServed(out outbox) {
-	for address, gate := range l.notServed {
+// reply answers the processes that this one has no permits for, so that they do not take it
+// for silent.
+func (l *Ledger) reply(out outbox) {
+	for address, answer := range l.replies {
 		m := out.to(address)
-		m.Answers = append(m.Answers, Answer{Gate: gate, Again: answerTimeout})
+		m.Answers = append(m.Answers, answer)
 	}
-	clear(l.notServed)
+	clear(l.replies)
 }
--- a/internal/router/limit/homes.go
+++ b/internal/router/limit/homes.go
@@ -25,6 +25,9 @@
 	// no home until it answers one. It is then asked every probeInterval.
 	maxUnanswered = 2
 	probeInterval = 3 * time.Second
+	// A home announces itself to successors others every announceInterval.
+	successors       = 3
+	announceInterval = 500 * time.Millisecond
 	// partitionFactor times the share of the known processes that a home sees is the part of
 	// the rate that it hands out. Homes of separate parts of a fleet then hand out at most
 	// partitionFactor times the rate together.
@@ -117,7 +120,7 @@
 	if home, known := h.cache[g]; known {
 		return home
 	}
-	name := fmt.Sprintf("%x/%d/%d", g.Endpoint, g.Part, g.Parts)
+	name := g.name()
 	best, bestScore := h.own, rank.Score(h.own, name)
 	for _, address := range h.view.Live {
 		if h.isSilent(address) {
@@ -131,6 +134,15 @@
 	return best
 }
 
+func (g Gate) name() string { return fmt.Sprintf("%x/%d/%d", g.Endpoint, g.Part, g.Parts) }
+
+// successors returns the processes that would be a gate's home after this one.
+func (h *homes) successors(g Gate) []string {
+	others := slices.DeleteFunc(slices.Clone(h.view.Live), func(address string) bool { return address == h.own || h.isSilent(address) })
+	ranked := rank.Hosts(others, g.name())
+	return ranked[:min(successors, len(ranked))]
+}
+
 // Home returns the address of the process that this one asks for an endpoint's permits.
 func (l *Ledger) Home(key sched.Key) string {
 	l.mu.Lock()
--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -38,20 +38,20 @@
 	homes homes
 	needs map[sched.Key]*need
 	gates map[Gate]*gate // of the endpoints whose home this process is
-	// probes are homes that others asked this process in place of, by address, with one
+	// probes are the processes that are asked next whether they respond, by address, with a
 	// gate of each.
 	probes map[string]Gate
-	// notServed are processes that asked this one for permits that it does not hand out, by
-	// address, with one of the gates.
-	notServed map[string]Gate
-	pending   atomic.Bool // probes or notServed are not empty
+	// replies go to processes that asked for permits that this one does not hand out, or only
+	// whether it responds, by address.
+	replies map[string]Answer
+	pending atomic.Bool // probes or replies are not empty
 }
 
 // New returns a ledger without limits.
 func New(cfg Config) *Ledger {
 	return &Ledger{
 		cfg: cfg, words: map[sched.Key]*word{}, homes: newHomes(cfg.Address),
-		needs: map[sched.Key]*need{}, gates: map[Gate]*gate{}, probes: map[string]Gate{}, notServed: map[string]Gate{},
+		needs: map[sched.Key]*need{}, gates: map[Gate]*gate{}, probes: map[string]Gate{}, replies: map[string]Answer{},
 	}
 }
 
@@ -69,7 +69,8 @@
 	Patience time.Duration
 }
 
-// Answer is a home's answer to an Ask: at once, and again when it has permits.
+// Answer is a home's answer to an Ask: at once, and again when it has permits. The zero
+// Answer only says that the process responds.
 type Answer struct {
 	Gate    Gate
 	Granted int           // permits
@@ -95,8 +96,9 @@
 	l.expire(now)
 	out := outbox{}
 	l.ask(now, demand, out)
+	l.announce(now)
 	l.probe(now, out)
-	l.answerNotServed(out)
+	l.reply(out)
 	l.pending.Store(false)
 	l.grant(now, out)
 	return out.packets()
@@ -115,7 +117,7 @@
 	for _, a := range m.Answers {
 		l.receiveAnswer(now, a)
 	}
-	l.pending.Store(len(l.probes)+len(l.notServed) > 0)
+	l.pending.Store(len(l.probes)+len(l.replies) > 0)
 }
 
 // Limit returns the limit that an endpoint names. named is false if it names none.
--- a/internal/router/limit/limit_test.go
+++ b/internal/router/limit/limit_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mimosalock/mimosalock/internal/call/rank"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
@@ -194,3 +195,59 @@
 		t.Error("no permits were handed out")
 	}
 }
+
+// A home that does not tell the processes next in line that it is alive is forgotten by
+// them, and they hand out the same permits.
+func TestHomeAnnouncesItself(t *testing.T) {
+	view := View{Known: 13}
+	for i := range 13 {
+		view.Live = append(view.Live, fmt.Sprintf("p%02d", i))
+	}
+	gate := Gate{Endpoint: sched.KeyOf("e"), Parts: 1}
+	inOrder := rank.Hosts(view.Live, gate.name())
+	home, next := newLedger(inOrder[0]), newLedger(inOrder[1])
+	start := time.Now()
+	home.Hear(start, engine, start, Statement{Named: true, Rate: 3})
+	told := map[string]int{}
+	for now := start; now.Before(start.Add(5 * announceInterval)); now = now.Add(20 * time.Millisecond) {
+		home.Receive(now, inOrder[5], Message{Asks: []Ask{{Gate: gate, Calls: 1, Patience: time.Second}}})
+		for _, p := range home.Tick(now, nil, view) {
+			if len(p.Message.Asks) == 0 {
+				continue
+			}
+			told[p.To]++
+			next.Receive(now, home.cfg.Address, p.Message)
+			for _, reply := range next.Tick(now, nil, view) {
+				home.Receive(now, p.To, reply.Message)
+			}
+		}
+	}
+	for i, address := range inOrder {
+		if isNext := i >= 1 && i <= successors; isNext != (told[address] > 0) || told[address] > 5 {
+			t.Errorf("number %d in line was told %d times in %v", i, told[address], 5*announceInterval)
+		}
+	}
+}
+
+// A question whether a process responds must not cancel what the sender waits for.
+func TestPresenceKeepsTheQueue(t *testing.T) {
+	l, now := newLedger("home"), time.Now()
+	l.Hear(now, engine, now, Statement{Named: true, Rate: 3})
+	gate, view := Gate{Endpoint: sched.KeyOf("e"), Parts: 1}, View{Live: []string{"home"}, Known: 1}
+	l.Receive(now, "a", Message{Asks: []Ask{{Gate: gate, Calls: 3, Patience: 2 * time.Second}}})
+	granted := 0
+	for i := range 60 {
+		if i == 2 {
+			l.Receive(now, "a", Message{Asks: []Ask{{Gate: gate}}})
+		}
+		for _, p := range l.Tick(now, nil, view) {
+			for _, a := range p.Message.Answers {
+				granted += a.Granted
+			}
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if granted != 3 {
+		t.Errorf("%d permits, want 3", granted)
+	}
+}
--- a/internal/router/peers/permits.go
+++ b/internal/router/peers/permits.go
@@ -58,6 +58,7 @@
 	Asks     []permitAsk
 	Answers  []permitAnswer
 	Address  string // of the sender, in a fleet so large that the receiver may not know it
+	Region   string // of the sender, if Address is set
 }
 
 // gateName is a limit.Gate.
@@ -99,7 +100,7 @@
 	maxPriority = 1 << 14
 )
 
-func encodePermits(address string, isLarge bool, m limit.Message) *permits {
+func encodePermits(address, region string, isLarge bool, m limit.Message) *permits {
 	p := &permits{
 		Sender: senderKey(address),
 		Asks: lo.Map(m.Asks, func(a limit.Ask, _ int) permitAsk {
@@ -110,7 +111,7 @@
 		}),
 	}
 	if isLarge && len(m.Asks) > 0 {
-		p.Address = address
+		p.Address, p.Region = address, region
 	}
 	return p
 }
@@ -143,7 +144,7 @@
 	var packets []Packet
 	spent := 0
 	for _, p := range due {
-		raw, err := msgpack.Marshal(message{Permits: encodePermits(g.cfg.Address, view.Known > maxSmallFleet, p.Message)})
+		raw, err := msgpack.Marshal(message{Permits: encodePermits(g.cfg.Address, g.cfg.Region, view.Known > maxSmallFleet, p.Message)})
 		if err != nil {
 			return nil, err
 		}
@@ -200,9 +201,7 @@
 
 // receivePermits processes a peer's questions for permits and its answers.
 func (g *Group) receivePermits(now time.Time, p *permits) {
-	g.mu.Lock()
-	sender := cmp.Or(p.Address, g.senders[p.Sender])
-	g.mu.Unlock()
+	sender := g.recordPermits(now, p)
 	if g.cfg.Limits == nil || sender == "" {
 		return
 	}
@@ -211,3 +210,28 @@
 		g.cfg.Scheduler.PlaceWaiting(now)
 	}
 }
+
+// recordPermits records the sender of a message as alive and returns its address, empty if
+// it is not known.
+func (g *Group) recordPermits(now time.Time, p *permits) (address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	address, region := p.Address, p.Region
+	if address == "" {
+		address = g.senders[p.Sender]
+	}
+	for candidate := range g.permits.forgotten {
+		if address == "" && senderKey(candidate) == p.Sender {
+			address = candidate
+		}
+	}
+	if address == "" || address == g.cfg.Address {
+		return ""
+	}
+	if known := g.peers[address]; region == "" && known != nil {
+		region = known.region
+	}
+	region = cmp.Or(region, g.permits.forgotten[address].region)
+	g.heard(now, address, g.recordAlive(address, region, now))
+	return address
+}
