Crash reports are encoded in package blame

Why: entries are to exchange the same reports as gateways; their wire form belongs to the report. Change: encodeCrashes and decodeCrashes of router/peers become blame.Encode and Decode, with their tests, unchanged but for names. The wire form is the same. Measured: tests of blame, and of crashes in router/peers, pass.

--- a/internal/router/peers/crash.go
+++ b/internal/router/peers/crash.go
@@ -1,8 +1,6 @@
 package peers
 
 import (
-	"encoding/binary"
-	"errors"
 	"slices"
 	"time"
 
@@ -24,18 +22,11 @@
 
 	newcomerTTL = 2 * time.Second // how long a process counts as one that has just started
 
-	maxCrashBytes       = 1200 // of a report to a process that has just started; fits a packet of the network
-	maxCrashRepeatBytes = 400  // of any other report
+	maxCrashRepeatBytes = 400 // of a report to a process that has not just started
 	// crashBytesPerSecond bounds what a process spends on crash reports; crashBurst is how
 	// much it may save up. It spends as much less on load reports.
 	crashBytesPerSecond = 700
 	crashBurst          = 1 << 10
-
-	// answerTransit is added to the age of an answer with each hop. It is longer than a
-	// message takes, so that no answer becomes younger by being passed on.
-	answerTransit = 50 * time.Millisecond
-	// maxCrashAge is the greatest age in a report. Greater ones come from a damaged report.
-	maxCrashAge = 24 * time.Hour
 )
 
 // Blame is what this process knows about prompt parts that make engines crash.
@@ -54,117 +45,6 @@
 	allowance allowance
 }
 
-// encodeCrashes returns the wire form of a report: the number of parts; of each part its
-// hash and the age of its answer in ms plus one, 0 if it has none; then for each crash
-// the engine, the age in ms, the number of parts and their places in the list. Crashes
-// that do not fit into maxBytes are left out, with the answers of their parts. If not even
-// the first fits, the report may take maxCrashBytes.
-func encodeCrashes(r blame.Report, maxBytes int) []byte {
-	answers := make(map[blame.Part]time.Duration, len(r.Answers))
-	for _, a := range r.Answers {
-		answers[a.Part] = a.Age
-	}
-	places := map[blame.Part]int{}
-	var parts, crashes []byte
-	for _, c := range r.Crashes {
-		nextParts, added := parts, []blame.Part(nil)
-		next := binary.BigEndian.AppendUint32(crashes, c.Engine)
-		next = binary.AppendUvarint(next, ageMs(c.Age))
-		next = binary.AppendUvarint(next, uint64(len(c.Parts)))
-		for _, part := range c.Parts {
-			if _, listed := places[part]; !listed {
-				places[part] = len(places)
-				added = append(added, part)
-				nextParts = appendPart(nextParts, part, answers)
-			}
-			next = binary.AppendUvarint(next, uint64(places[part]))
-		}
-		size := binary.MaxVarintLen16 + len(nextParts) + len(next)
-		if len(crashes) == 0 && size > maxBytes {
-			maxBytes = maxCrashBytes
-		}
-		if size > maxBytes {
-			for _, part := range added {
-				delete(places, part)
-			}
-			continue
-		}
-		parts, crashes = nextParts, next
-	}
-	raw := binary.AppendUvarint(nil, uint64(len(places)))
-	return append(append(raw, parts...), crashes...)
-}
-
-func appendPart(raw []byte, part blame.Part, answers map[blame.Part]time.Duration) []byte {
-	raw = binary.BigEndian.AppendUint64(raw, uint64(part))
-	if age, answered := answers[part]; answered {
-		return binary.AppendUvarint(raw, ageMs(age+answerTransit)+1)
-	}
-	return append(raw, 0)
-}
-
-func ageMs(age time.Duration) uint64 {
-	return uint64(min(max(0, age), maxCrashAge).Milliseconds())
-}
-
-var errInvalidCrashes = errors.New("crash report is invalid")
-
-// decodeCrashes is the inverse of encodeCrashes.
-func decodeCrashes(raw []byte) (blame.Report, error) {
-	d := crashDecoder{raw: raw}
-	var r blame.Report
-	var parts []blame.Part
-	for range d.uvarint(uint64(len(raw) / 9)) { // a part takes at least 9 bytes
-		part := blame.Part(d.uint64())
-		parts = append(parts, part)
-		if age := d.uvarint(ageMs(maxCrashAge) + 1); age > 0 {
-			r.Answers = append(r.Answers, blame.Answer{Part: part, Age: time.Duration(age-1) * time.Millisecond})
-		}
-	}
-	for len(d.raw) > 0 && !d.failed {
-		c := blame.Crash{Engine: d.uint32(), Age: time.Duration(d.uvarint(ageMs(maxCrashAge))) * time.Millisecond}
-		for range d.uvarint(uint64(len(parts))) {
-			if place := d.uvarint(uint64(max(0, len(parts)-1))); !d.failed {
-				c.Parts = append(c.Parts, parts[place])
-			}
-		}
-		r.Crashes = append(r.Crashes, c)
-	}
-	if d.failed || len(raw) == 0 {
-		return blame.Report{}, errInvalidCrashes
-	}
-	return r, nil
-}
-
-// crashDecoder reads numbers. After one that is truncated or too large it returns zeros.
-type crashDecoder struct {
-	raw    []byte
-	failed bool
-}
-
-func (d *crashDecoder) bytes(n int) []byte {
-	if d.failed || len(d.raw) < n {
-		d.failed = true
-		return make([]byte, n)
-	}
-	b := d.raw[:n]
-	d.raw = d.raw[n:]
-	return b
-}
-
-func (d *crashDecoder) uint32() uint32 { return binary.BigEndian.Uint32(d.bytes(4)) }
-func (d *crashDecoder) uint64() uint64 { return binary.BigEndian.Uint64(d.bytes(8)) }
-
-func (d *crashDecoder) uvarint(most uint64) uint64 {
-	v, size := binary.Uvarint(d.raw)
-	if d.failed || size <= 0 || v > most {
-		d.failed = true
-		return 0
-	}
-	d.raw = d.raw[size:]
-	return v
-}
-
 // crashPackets returns the reports of crashes that are due now.
 func (g *Group) crashPackets(now time.Time) ([]Packet, error) {
 	if g.cfg.Blame == nil {
@@ -182,7 +62,7 @@
 	}
 	packets := g.crashRound(now, report, state)
 	if address, found := g.newcomer(now); found {
-		packets = append(packets, Packet{To: []string{address}, Raw: encodeCrashes(report, maxCrashBytes)})
+		packets = append(packets, Packet{To: []string{address}, Raw: blame.Encode(report, blame.MaxReportBytes)})
 	}
 	for i, p := range packets {
 		raw, err := msgpack.Marshal(message{Crashes: p.Raw})
@@ -216,13 +96,13 @@
 		return nil
 	}
 	s.state, s.lastRound = state, now
-	return []Packet{{To: to, Raw: encodeCrashes(report, maxCrashRepeatBytes)}}
+	return []Packet{{To: to, Raw: blame.Encode(report, maxCrashRepeatBytes)}}
 }
 
 // recentCrashes returns the part of a report that is recent, and the age of the youngest
-// crash.
+// crash, at most crashNews.
 func recentCrashes(r blame.Report) (recent blame.Report, youngest time.Duration) {
-	recent.Answers, youngest = r.Answers, maxCrashAge
+	recent.Answers, youngest = r.Answers, crashNews
 	for _, c := range r.Crashes {
 		youngest = min(youngest, c.Age)
 		if c.Age < crashNews {
@@ -265,7 +145,7 @@
 	if g.cfg.Blame == nil {
 		return nil
 	}
-	r, err := decodeCrashes(raw)
+	r, err := blame.Decode(raw)
 	if err == nil {
 		g.cfg.Blame.Merge(now, r)
 	}
