Entries refuse prompts that crash engines, and tell each other

Cause: the agent reported any broken response as one to be run elsewhere; nothing remembered prompts. Change: the agent says whether the engine closed its connection before the first frame of a call that it had received (a silent engine or a response above a limit does not count), and which start of the engine that was; entries keep a blame.Ledger over the messages before the last one, refuse with 503 and a minute's Retry-After, and pass its reports on (at most 1,200 bytes) with each exchange of versions, at once when there is news. A call that an engine's closed port refused ended as one that may have run; it is NOT_RUN now. Not measured: bytes and spread of these reports at hundreds of entries.

--- a/internal/agent/invoke/invoke.go
+++ b/internal/agent/invoke/invoke.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,8 +65,11 @@
 	}
 	err := errAdopted
 	if !j.Adopted {
-		err = stream(ctx, j, modelRequest(j))
+		if err = stream(ctx, j, modelRequest(j)); isUnsent(err) {
+			return unsentEnd(err)
+		}
 	}
+	broken := brokeAtStart(j, err)
 	for try := 0; err != nil && resumable(ctx, err) && try < maxResumeTries; try++ {
 		before := j.Buffer.Count()
 		err = stream(ctx, j, resumeRequest(j))
@@ -77,7 +82,7 @@
 			sleep(ctx, resumeDelay)
 		}
 	}
-	return engineEnd(ctx, err)
+	return engineEnd(ctx, err, broken && j.Buffer.Count() == 0)
 }
 
 var (
@@ -89,21 +94,37 @@
 // resumable reports whether a failed stream may be resumed: the engine may have
 // received the request and may still hold the stream.
 func resumable(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && !errors.Is(err, errNotHeld) && !isUnsent(err)
+}
+
+func isUnsent(err error) bool {
 	var httpErr *httpc.Error
-	unsent := errors.As(err, &httpErr) && httpErr.Kind == httpc.KindUnsent
-	return ctx.Err() == nil && !errors.Is(err, errNotHeld) && !unsent
+	return errors.As(err, &httpErr) && httpErr.Kind == httpc.KindUnsent
+}
+
+// unsentEnd returns the end of a call that did not reach the endpoint.
+func unsentEnd(err error) *peerpb.End {
+	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Reason: err.Error(), Rerun: true}
+}
+
+// brokeAtStart reports whether the engine closed the connection before the first frame of
+// the response to a call that this process has sent. A silent engine does not count, nor a
+// response that is beyond a limit.
+func brokeAtStart(j Job, err error) bool {
+	isClosed := slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncated}, func(target error) bool { return errors.Is(err, target) })
+	return isClosed && !j.Adopted && j.Buffer.Count() == 0
 }
 
 // engineEnd returns the end of a call to an engine. After a failure of the
 // engine the entry may run the call elsewhere if no frame has reached the caller.
-func engineEnd(ctx context.Context, err error) *peerpb.End {
+func engineEnd(ctx context.Context, err error, brokeAtStart bool) *peerpb.End {
 	switch {
 	case err == nil:
 		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE}
 	case ctx.Err() != nil:
 		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: context.Cause(ctx).Error()}
 	default:
-		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: err.Error(), Rerun: true}
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: err.Error(), Rerun: true, BrokeAtStart: brokeAtStart}
 	}
 }
 
@@ -203,7 +224,10 @@
 			err = storeBody(j, resp)
 		}
 	}
-	return engineEnd(ctx, err)
+	if !j.Adopted && isUnsent(err) {
+		return unsentEnd(err)
+	}
+	return engineEnd(ctx, err, brokeAtStart(j, err))
 }
 
 func deadline(j Job) time.Duration {
@@ -218,12 +242,11 @@
 		defer resp.Close()
 		err = storeBody(j, resp)
 	}
-	var httpErr *httpc.Error
 	switch {
 	case err == nil:
 		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE}
-	case errors.As(err, &httpErr) && httpErr.Kind == httpc.KindUnsent:
-		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Reason: err.Error(), Rerun: true}
+	case isUnsent(err):
+		return unsentEnd(err)
 	case j.Offer.NoRepeat:
 		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
 	default:
--- a/internal/agent/runner/run.go
+++ b/internal/agent/runner/run.go
@@ -21,7 +21,8 @@
 	decided chan struct{}   // closed when the run started or was refused
 	refused *peerpb.Refused // set before decided is closed
 	started bool
-	adopted bool // started by an earlier agent process and resumed by this one
+	adopted bool   // started by an earlier agent process and resumed by this one
+	bootID  uint64 // of the engine that it was sent to
 }
 
 func newRun(o *peerpb.Offer, b *buffer.Buffer) *Run {
@@ -45,7 +46,7 @@
 func (r *Runner) start(run *Run) {
 	invar.Check(!run.started, "starts_once", "attempt %s started a second time", run.Offer.Attempt)
 	invar.Check(r.drainReason == "" || run.adopted, "no_new_work_when_closed", "attempt %s started while draining: %s", run.Offer.Attempt, r.drainReason)
-	run.started = true
+	run.started, run.bootID = true, r.health.bootID
 	run.decide(nil)
 	r.Trail.Record(audit.Event{Kind: audit.KindStarted, Subject: run.Offer.Attempt, Reason: "admitted", Version: r.Store.View().Version()})
 	r.Metrics.RunsRunning.Inc()
@@ -115,6 +116,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	attempt := run.Offer.Attempt
+	end.Boot = run.bootID
 	r.Metrics.RunsRunning.Dec()
 	r.Metrics.RunsEnded.WithLabelValues(end.Outcome.String()).Inc()
 	switch end.Outcome {
--- a/internal/entry/relay/attempt.go
+++ b/internal/entry/relay/attempt.go
@@ -32,8 +32,11 @@
 }
 
 // startAttempt probes candidates and offers the call to the best one. It returns
-// an End if no candidate admits the call.
+// an End if no candidate admits the call, or engines crash under its prompt.
 func (s *Session) startAttempt(ctx context.Context) Event {
+	if s.promptBlocked(time.Now()) {
+		return s.end("engines crash under a part of the prompt", promptBlockedRetryAfter)
+	}
 	probes := probeReplies{conns: map[string]*link.Conn{}}
 	best, ok := s.chooseAgent(ctx, &probes)
 	for host, conn := range probes.conns {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
 	"github.com/mimosalock/mimosalock/internal/ops/audit"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
+	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -31,6 +32,7 @@
 	Roster         *roster.Roster
 	Pool           *link.Pool
 	Retries        *retry.Budget
+	Blame          *blame.Ledger // of prompt parts that engines crash under
 	Trail          *audit.Trail
 	Metrics        *metric.Set
 	Log            *zap.Logger
@@ -43,6 +45,8 @@
 	Workspace spec.Workspace
 	Offer     *peerpb.Offer // template; sendOffer fills in the fields of each attempt
 	Buffered  bool          // the caller receives the response only once it is complete
+	// PromptParts are the parts of the prompt that calls share, in order: without the last one.
+	PromptParts []blame.Part
 }
 
 // Event is what Next returns: a Frame, Restart or End.
@@ -99,6 +103,7 @@
 	offerCount    int             // number of offers sent
 	minRetryAfter time.Duration   // shortest retry-after time received from an agent
 	lastRefusal   string          // reason of the last refusal
+	lastAnswer    time.Time       // when an answer to the prompt was last recorded, at first that of the first frame
 }
 
 // New returns a session for a new call.
@@ -280,6 +285,7 @@
 	}
 	s.state = s.state.WithFrame(f.Index)
 	s.stream.relayed.Store(s.state.Relayed())
+	s.recordProgress(time.Now())
 	if s.state.Relayed()%framesPerAck == 0 {
 		s.stream.ack()
 	}
@@ -306,12 +312,14 @@
 			return nil
 		}
 		s.state = s.state.WithFinish()
+		s.recordAnswer(time.Now())
 		s.stream.finish(s.Pool)
 		s.stream = nil
 		return s.end("", 0)
 	case peerpb.Outcome_OUTCOME_NOT_RUN:
 		s.state = s.state.WithNotExecuted()
 	default:
+		s.recordCrash(time.Now(), e)
 		s.state = s.state.WithLost()
 	}
 	s.tried[s.agent.Host] = true
--- a/internal/entry/server/generate.go
+++ b/internal/entry/server/generate.go
@@ -18,6 +18,7 @@
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
 	"github.com/mimosalock/mimosalock/internal/entry/relay"
+	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -126,7 +127,19 @@
 		Headers: []*peerpb.Header{{Name: "Content-Type", Value: "application/json"}},
 	}
 	buffered := !req.Stream || s.Delivery == spec.DeliveryWhole
-	return relay.Call{ID: callid.NewCall(), Service: s, Workspace: w, Offer: offer, Buffered: buffered}, nil
+	return relay.Call{
+		ID: callid.NewCall(), Service: s, Workspace: w, Offer: offer, Buffered: buffered,
+		PromptParts: promptParts(s.Name, fields["messages"]),
+	}, nil
+}
+
+// promptParts returns the messages of a chat but the last one, which is the call's own.
+func promptParts(service string, messages json.RawMessage) []blame.Part {
+	var all []json.RawMessage
+	if json.Unmarshal(messages, &all) != nil || len(all) < 2 {
+		return nil // a text prompt has no parts, and the engine refuses invalid messages
+	}
+	return lo.Map(all[:len(all)-1], func(m json.RawMessage, _ int) blame.Part { return blame.KeyOf(service + "/" + string(m)) })
 }
 
 // stream serves a call with a streamed response. The HTTP status is sent only with
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -1,7 +1,8 @@
 // Package gossip distributes configuration versions between processes by gossip.
 // When a process applies a version, it contacts its neighbours at once. In addition,
 // each process periodically exchanges versions with one peer. In either case the
-// process with the lower version pulls from the one with the higher version.
+// process with the lower version pulls from the one with the higher version. Entries also
+// exchange which calls engines crashed under (crash.go).
 package gossip
 
 import (
@@ -19,6 +20,7 @@
 	"github.com/mimosalock/mimosalock/internal/fleet/config"
 	"github.com/mimosalock/mimosalock/internal/fleet/link"
 	"github.com/mimosalock/mimosalock/internal/fleet/roster"
+	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -38,14 +40,15 @@
 	roster     *roster.Roster
 	pool       *link.Pool
 	log        *zap.Logger
+	blame      *blame.Ledger // nil at agents, which do not need it
 	graph      *graph
 	pullFrom   chan string // hosts that reported a higher version
 }
 
-// New returns the node of the host self.
-func New(self, dataCentre string, store *active.Store, members *roster.Roster, pool *link.Pool, log *zap.Logger) *Node {
+// New returns the node of the host self. crashes is nil if it does not exchange them.
+func New(self, dataCentre string, store *active.Store, members *roster.Roster, crashes *blame.Ledger, pool *link.Pool, log *zap.Logger) *Node {
 	return &Node{
-		self: self, dataCentre: dataCentre, store: store, roster: members, pool: pool, log: log,
+		self: self, dataCentre: dataCentre, store: store, roster: members, blame: crashes, pool: pool, log: log,
 		graph: &graph{self: self, dataCentre: dataCentre, fleetOnly: store.FleetOnly()}, pullFrom: make(chan string, 8),
 	}
 }
@@ -54,7 +57,8 @@
 func (n *Node) Serve(req *peerpb.SyncRequest) *peerpb.SyncReply {
 	v := n.store.View()
 	n.recordPeerVersion(req.From, req.Version, req.AgeMs)
-	reply := &peerpb.SyncReply{Version: v.Version(), AgeMs: n.ageMs()}
+	n.mergeCrashes(req.From, req.Crashes)
+	reply := &peerpb.SyncReply{Version: v.Version(), AgeMs: n.ageMs(), Crashes: n.encodeCrashes()}
 	if v == nil {
 		return reply
 	}
@@ -102,6 +106,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	pushedVersion := uint64(0)
+	if n.blame != nil {
+		go n.pushCrashes(ctx)
+	}
 	for {
 		// Take the channel before reading the version, so that a version applied in
 		// between closes it and is not missed.
@@ -243,7 +250,7 @@
 func (n *Node) call(ctx context.Context, m roster.Member, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req.From, req.Version, req.AgeMs = n.self, n.store.View().Version(), n.ageMs()
+	req.From, req.Version, req.AgeMs, req.Crashes = n.self, n.store.View().Version(), n.ageMs(), n.encodeCrashes()
 	conn, err := n.pool.Get(ctx, m.Address)
 	if err != nil {
 		n.roster.Suspect(m.Host, "no connection")
@@ -255,5 +262,6 @@
 		return nil, err
 	}
 	n.pool.Put(conn)
+	n.mergeCrashes(m.Host, reply.Crashes)
 	return reply, nil
 }
--- a/internal/node/base/base.go
+++ b/internal/node/base/base.go
@@ -29,6 +29,7 @@
 	"github.com/mimosalock/mimosalock/internal/ops/audit"
 	"github.com/mimosalock/mimosalock/internal/ops/invar"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
+	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -45,6 +46,7 @@
 	Roster   *roster.Roster
 	Pool     *link.Pool
 	Gossip   *gossip.Node
+	Blame    *blame.Ledger // nil at agents
 	Log      *zap.Logger
 
 	serverTLS    *tls.Config
@@ -66,7 +68,11 @@
 		log.Warn("no_tls_keys", zap.String("warning", "no TLS keys are set: peers are not authenticated, use loopback only"), zap.String("peer", s.Peer))
 	}
 	i := do.New()
-	provide(i, s, role, tlsConfigs, log)
+	var crashes *blame.Ledger
+	if role == setup.RoleEntry {
+		crashes = blame.New()
+	}
+	provide(i, s, role, crashes, tlsConfigs, log)
 	pool := do.MustInvoke[*link.Pool](i)
 	do.MustInvoke[*metric.Set](i).RegisterTraffic(pool.Traffic)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -79,13 +85,14 @@
 		Roster:       do.MustInvoke[*roster.Roster](i),
 		Pool:         pool,
 		Gossip:       do.MustInvoke[*gossip.Node](i),
+		Blame:        crashes,
 		configReader: do.MustInvoke[*config.Reader](i),
 		hosts:        do.MustInvoke[*hosts.Watcher](i),
 	}, nil
 }
 
 // provide registers the constructors of the parts with the injector.
-func provide(i do.Injector, s setup.Settings, role setup.Role, tlsConfigs mtls.Configs, log *zap.Logger) {
+func provide(i do.Injector, s setup.Settings, role setup.Role, crashes *blame.Ledger, tlsConfigs mtls.Configs, log *zap.Logger) {
 	do.ProvideValue(i, clock.New())
 	do.ProvideValue(i, audit.New(s.Host, log))
 	do.ProvideValue(i, metric.New())
@@ -97,7 +104,8 @@
 		return roster.New(do.MustInvoke[*audit.Trail](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*gossip.Node, error) {
-		return gossip.New(s.Host, s.DataCentre, do.MustInvoke[*active.Store](i), do.MustInvoke[*roster.Roster](i), do.MustInvoke[*link.Pool](i), log), nil
+		return gossip.New(s.Host, s.DataCentre, do.MustInvoke[*active.Store](i), do.MustInvoke[*roster.Roster](i), crashes,
+			do.MustInvoke[*link.Pool](i), log), nil
 	})
 	do.Provide(i, func(i do.Injector) (*config.Reader, error) {
 		return config.New(s.Platform, s.Host, s.DataCentre, s.ConfigReaders,
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -44,7 +44,7 @@
 	}
 	retries := retry.New()
 	e := &Entry{base: b, retries: retries, server: server.New(relay.Deps{
-		DataCentre: s.DataCentre, SilenceTimeout: s.SilenceTimeout(), Store: b.Store, Roster: b.Roster, Pool: b.Pool, Retries: retries,
+		DataCentre: s.DataCentre, SilenceTimeout: s.SilenceTimeout(), Store: b.Store, Roster: b.Roster, Pool: b.Pool, Retries: retries, Blame: b.Blame,
 		Trail: b.Trail, Metrics: b.Metrics, Log: log,
 	}, s.SlowCallerTimeout(), log)}
 	if err := b.Start(&peerServer{gossip: b.Gossip}, e.Status, e.server.Ready); err != nil {
--- a/internal/tool/local/crash_test.go
+++ b/internal/tool/local/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -15,28 +14,27 @@
 
 // Guards against calls that take down one engine after the other by a part of their prompts.
 func TestPromptThatCrashesEngines(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("known red, entry 11 of KNOWN-RED.txt")
-	}
 	for name, stream := range map[string]bool{"stream": true, "whole response": false} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			testCrashesBounded(t, stream)
-		})
+		for _, entries := range []int{2, 6} {
+			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
+				t.Parallel()
+				testCrashesBounded(t, entries, stream)
+			})
+		}
 	}
 }
 
 // testCrashesBounded makes calls that share a message which crashes engines, and sound
 // ones in between. Once engines have crashed five times, at most three more submissions
 // of calls that start later may reach engines. Sound calls must complete.
-func testCrashesBounded(t *testing.T, stream bool) {
-	r := start(t, local.Options{Entries: 2, Engines: 6, AdjustEngine: func(c *engsrv.Config) {
+func testCrashesBounded(t *testing.T, entries int, stream bool) {
+	r := start(t, local.Options{Entries: entries, Engines: 6, AdjustEngine: func(c *engsrv.Config) {
 		c.CrashMarker, c.CrashDowntime = crashMarker, time.Second
 	}})
 	const calls, enoughCrashes, maxFurther = 10, 5, 3
 	baseline := -1 // submissions when the first call after the fifth crash started
 	for i := range calls {
-		addr := r.Entries()[i%2].CallerAddr
+		addr := r.Entries()[i%entries].CallerAddr
 		submitted, crashes := crashCounts(r)
 		if crashes >= enoughCrashes && baseline < 0 {
 			baseline = submitted
