One process reads the registry for all, also in the seconds after a start

Just after a start some processes are known to few others and may hear no notice for 2 s. Such a one read the registry itself, stayed a second reader for a second, and named standbys. These heard nothing more of it once it ceased, took it for dead after 0.5 s and read as well, with standbys of their own. Change: a peer whose copy is 0.7 s older than this process's gets a notice at once, so that it does not become a reader; a standby counts as one only of the reader that it knows its copy from. TestStandbys names the reader that it asks about.

--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -25,7 +25,7 @@
 	if w.peers == nil || w.isReader {
 		return w.mayReadAgain(now)
 	}
-	return now.Sub(p.AsOf) >= w.readAfter(now)
+	return now.Sub(p.AsOf) >= w.readAfter(now, p.Reader)
 }
 
 // mayReadAgain reports whether the reader may make another call now.
@@ -40,15 +40,16 @@
 	return true
 }
 
-// readAfter returns the age of the copy at which this process reads the registry.
-func (w *Watcher) readAfter(now time.Time) time.Duration {
+// readAfter returns the age of the copy at which this process reads the registry. reader is
+// the process that read it last.
+func (w *Watcher) readAfter(now time.Time, reader string) time.Duration {
 	switch {
 	case !w.failingSince.IsZero() && now.Sub(w.lastAttempt) >= idleRetryInterval:
 		return 0
 	case !w.failingSince.IsZero():
 		return w.StaleAfter + w.jitter
 	}
-	if place := w.peers.Standby(now); place > 0 {
+	if place := w.peers.Standby(now, reader); place > 0 {
 		return min(w.StaleAfter, time.Duration(place)*takeoverStep)
 	}
 	return w.StaleAfter + w.jitter
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -52,7 +52,7 @@
 type Peers interface {
 	// Standby returns this process's place, from 1, among those that the reader has named
 	// to take over from it, 0 if it is none of them.
-	Standby(now time.Time) int
+	Standby(now time.Time, reader string) int
 	// Newer returns a peer whose copy has a later version and is at most maxAge old.
 	Newer(now time.Time, v mirror.Version, maxAge time.Duration) (address string, ok bool)
 	// IsEntryPoint reports whether processes that start ask this one first.
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -26,9 +26,9 @@
 	isEntryPoint bool
 }
 
-func (p *fakePeers) Standby(time.Time) int   { return p.standby }
-func (p *fakePeers) IsEntryPoint() bool      { return p.isEntryPoint }
-func (p *fakePeers) Processes(time.Time) int { return p.count }
+func (p *fakePeers) Standby(time.Time, string) int { return p.standby }
+func (p *fakePeers) IsEntryPoint() bool            { return p.isEntryPoint }
+func (p *fakePeers) Processes(time.Time) int       { return p.count }
 func (p *fakePeers) Newer(_ time.Time, v mirror.Version, maxAge time.Duration) (string, bool) {
 	return "peer", p.copy != nil && v.Before(p.copy.Position().Version()) && p.age <= maxAge
 }
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -26,6 +26,8 @@
 	standbys        = 2
 	standbyInterval = 100 * time.Millisecond
 	standbyTTL      = 2 * time.Second // how long a process remembers that it was named
+	// A peer whose copy is oldCopyAge older than this process's is told how current it is.
+	oldCopyAge = 700 * time.Millisecond
 	// liveTTL is how long after its last sign of life a process counts as live here.
 	// Gossip about a process may take seconds.
 	liveTTL = 10 * time.Second
@@ -235,14 +237,15 @@
 	p := g.recordAlive(n.Address, n.Region, now)
 	g.heard(now, n.Address, p)
 	p.registry, p.registryAt = report, now
-	p.needsNotice = p.needsNotice || report.Version().Before(own.Version())
+	p.needsNotice = p.needsNotice || report.Version().Before(own.Version()) ||
+		report.Version() == own.Version() && report.Age > own.Age+oldCopyAge // it would soon read the registry itself
 	known := g.knownCount(now)
 	p.needsMembers = p.needsMembers || n.Known < known*3/4
 	if n.Known < known/4 { // a process that has run for a while may know of half as many
 		p.newAt = now
 	}
 	if n.Standby > 0 {
-		g.standby, g.standbyAt = n.Standby, now
+		g.standby, g.standbyOf, g.standbyAt = n.Standby, n.Address, now
 	}
 	for _, other := range n.Members {
 		g.recordMember(now, other)
@@ -270,12 +273,12 @@
 	}
 }
 
-// Standby returns this process's place, from 1, among those that the reader has named
+// Standby returns this process's place, from 1, among those that a reader has named
 // to take over from it, 0 if it is none of them.
-func (g *Group) Standby(now time.Time) int {
+func (g *Group) Standby(now time.Time, reader string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Sub(g.standbyAt) > standbyTTL {
+	if g.standbyOf != reader || now.Sub(g.standbyAt) > standbyTTL {
 		return 0
 	}
 	return g.standby
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -113,8 +113,9 @@
 	lastNoticeVersion mirror.Version // of the registry's copy that it reported
 	noticeDue         bool           // an endpoint was reported as leaving since
 	lastStandbyNotice time.Time      // time of the last notices to the standbys
-	standby           int            // this process's place among the reader's standbys, 0 if it is none
-	standbyAt         time.Time      // when the reader said so
+	standby           int            // this process's place among a reader's standbys, 0 if it is none
+	standbyOf         string         // address of that reader
+	standbyAt         time.Time      // when it said so
 }
 
 type leavingRecord struct {
--- a/internal/router/peers/peers_test.go
+++ b/internal/router/peers/peers_test.go
@@ -221,18 +221,19 @@
 		f.copies.of("c").report = mirror.Report{State: 1, Cursor: 1, Reader: "c", Reachable: true}
 		f.copies.of("b").report.Reachable = false
 		f.rounds(t, 3*time.Second+standbyTTL)
-		expectStandbys(t, f, "a", "d")
+		expectStandbys(t, f, "c", "a", "d")
 		f.partitioned["a"] = true
 		f.rounds(t, liveTTL+time.Second+standbyTTL)
-		expectStandbys(t, f, "d", "e")
+		expectStandbys(t, f, "c", "d", "e")
+		expectStandbys(t, f, "b") // of another reader
 	})
 }
 
-func expectStandbys(t *testing.T, f *fleet, want ...string) {
+func expectStandbys(t *testing.T, f *fleet, reader string, want ...string) {
 	t.Helper()
 	got := make([]string, len(want))
 	for address, g := range f.groups {
-		if place := g.Standby(time.Now()); place > len(got) {
+		if place := g.Standby(time.Now(), reader); place > len(got) {
 			t.Fatalf("%s has place %d", address, place)
 		} else if place > 0 {
 			got[place-1] = address
--- a/internal/router/peers/registry_test.go
+++ b/internal/router/peers/registry_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -412,7 +411,7 @@
 				worst, oldest := f.worstLag(t)
 				t.Logf("%d processes: all have a copy after %v and %d calls; then %.1f calls a second, %d bytes/s sent and received per process; a change is in force after %v at worst, the oldest copy is %v old",
 					count, took, atStart, perSecond, perProcess, worst, oldest)
-				if perSecond > 26 && os.Getenv("KNOWN_RED") != "" { // known red, entry 9 of KNOWN-RED.txt
+				if perSecond > 26 {
 					t.Errorf("%.1f registry calls a second, want at most 26", perSecond)
 				}
 				if perProcess > 8<<10 {
