An empty generation without length or chunks is broken off, whatever its prompt

What callers saw: a response of a model engine that has neither a length nor chunks and ends before its first event was passed on as a complete, empty 200. Cause: only calls that name the parts of their prompt were checked for it. Change: the check holds for each generation whose response ends with its connection.

--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -201,7 +201,7 @@
 // endsUnanswered reports whether a generation's source has ended before the first event.
 // A crashed engine's response without length or chunks has a regular end.
 func (c *streamCall) endsUnanswered() bool {
-	return !c.answering() && len(c.in.Call.PromptParts) > 0
+	return !c.answering() && (len(c.in.Call.PromptParts) > 0 || c.source.response.Unframed)
 }
 
 // forward sends an event to the caller, unless an earlier source already provided
