Processes that start at once do not wait for each other's limits

Cause: a process that has just started holds calls for up to 0.3 s until a peer tells the limits, and one that waits itself gave no answer, so that a fleet that starts as a whole always waited 0.3 s. Change: such a one says so at once; when all seeds do, there is nothing to wait for. Short answers go to all that asked in one message.

--- a/internal/router/peers/limitasks.go
+++ b/internal/router/peers/limitasks.go
@@ -20,8 +20,8 @@
 	// takes endpoints that it knows nothing of for unlimited.
 	limitAskWait = 300 * time.Millisecond
 
-	maxAnswerWords = 40 // in an answer
-	maxAskers      = 64 // that wait for one
+	maxAnswerWords = 40  // in an answer
+	maxAskers      = 512 // that wait for one
 	// answerBytesPerSecond bounds what a process spends on answers; answerBurst is how much it
 	// may save up.
 	answerBytesPerSecond = 500
@@ -30,8 +30,9 @@
 
 // limitAsks holds the questions for limits: this process's own and those of others.
 type limitAsks struct {
-	over     atomic.Bool // answered, or limitAskWait has passed
+	over     atomic.Bool // answered, nobody can, or limitAskWait has passed
 	answered bool
+	unknown  map[string]bool // addresses of processes that have no answer either
 	began    time.Time
 	lastAsk  time.Time
 	askers   []string // addresses of those that get an answer next
@@ -40,7 +41,7 @@
 }
 
 // KnowsLimits reports whether this process may take an endpoint that it knows no limit of
-// for unlimited: a peer has told it all limits, or none did in time.
+// for unlimited: a peer has told it all limits, none of the seeds can, or none did in time.
 func (g *Group) KnowsLimits(now time.Time) bool {
 	if g.cfg.Limits == nil || g.limitAsks.over.Load() {
 		return true
@@ -52,7 +53,9 @@
 
 func (g *Group) limitAskIsOver(now time.Time) bool {
 	a := &g.limitAsks
-	if a.answered || !a.began.IsZero() && now.Sub(a.began) >= limitAskWait {
+	isMissing := func(seed string) bool { return !a.unknown[seed] }
+	nobodyKnows := len(a.unknown) > 0 && !slices.ContainsFunc(g.seeds, isMissing)
+	if a.answered || nobodyKnows || !a.began.IsZero() && now.Sub(a.began) >= limitAskWait {
 		a.over.Store(true)
 	}
 	return a.over.Load()
@@ -87,16 +90,29 @@
 	}
 }
 
-// nextLimitAsker returns the process whose question is answered now, if any. A process that
-// waits for an answer itself gives none.
-func (g *Group) nextLimitAsker(now time.Time) []string {
+// receiveLimitsUnknown records that a process has no answer to the question.
+func (g *Group) receiveLimitsUnknown(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a := &g.limitAsks; len(a.unknown) < maxAskers {
+		a.unknown[address] = true
+	}
+}
+
+// nextLimitAskers returns the processes whose questions are answered now, only one at a time
+// if the answer is long.
+func (g *Group) nextLimitAskers(now time.Time, isLong bool) []string {
 	a := &g.limitAsks
-	if len(a.askers) == 0 || !g.limitAskIsOver(now) || !a.allowance.refill(now) {
+	if len(a.askers) == 0 || !a.allowance.refill(now) {
 		return nil
 	}
-	next := a.askers[:1:1]
-	a.askers = a.askers[1:]
-	return next
+	next := len(a.askers)
+	if isLong {
+		next = 1
+	}
+	to := slices.Clone(a.askers[:next])
+	a.askers = a.askers[next:]
+	return to
 }
 
 // receiveLimitsAnswer records that a peer has told all limits that it knows.
--- a/internal/router/peers/limits.go
+++ b/internal/router/peers/limits.go
@@ -103,8 +103,12 @@
 			}
 		}
 	}
-	if to := g.nextLimitAsker(now); len(to) > 0 {
-		return packets, add(to, message{Limits: encoded, LimitsAnswer: true}, &g.limitAsks.allowance)
+	answer := message{Limits: encoded, LimitsAnswer: true}
+	if !g.limitAskIsOver(now) {
+		answer = message{LimitsUnknown: g.cfg.Address}
+	}
+	if to := g.nextLimitAskers(now, len(answer.Limits) > 0); len(to) > 0 {
+		return packets, add(to, answer, &g.limitAsks.allowance)
 	}
 	return packets, nil
 }
--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -227,6 +227,24 @@
 	}
 }
 
+// Guards against calls that are held in vain when all processes start at once.
+func TestFleetThatStartsKnowsLimits(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := &limitFleet{crashFleet: &crashFleet{fleet: newFleet(), blames: map[string]*knownCrashes{}}}
+		seeds := []string{"10.0.0.0:7200", "10.0.0.1:7200", "10.0.0.2:7200"}
+		for i := range processes {
+			f.start(fmt.Sprintf("10.0.0.%d:7200", i), uint64(i+1), seeds...)
+		}
+		f.play(t, limitAskWait/2)
+		for address, g := range f.groups {
+			if !g.KnowsLimits(time.Now()) {
+				t.Errorf("%s still waits %v after its start", address, limitAskWait/2)
+			}
+		}
+	}, 4, 103)
+}
+
 // Guards against a process that starts while no other can answer and waits without end.
 func TestProcessThatStartsAloneKnowsLimits(t *testing.T) {
 	t.Parallel()
--- a/internal/router/peers/message.go
+++ b/internal/router/peers/message.go
@@ -23,6 +23,8 @@
 	LimitsAsker string `msgpack:"k,omitempty"`
 	// LimitsAnswer says that Limits, which may be empty, answer such a question.
 	LimitsAnswer bool `msgpack:"t,omitempty"`
+	// LimitsUnknown is the address of a process that has no answer, as it has just started too.
+	LimitsUnknown string `msgpack:"u,omitempty"`
 
 	Address     string                 `msgpack:"a,omitempty"` // of the sender, IP:port
 	Region      string                 `msgpack:"r,omitempty"`
@@ -123,6 +125,8 @@
 		g.receiveLimits(now, m.Limits, m.LimitsAnswer)
 	case m.LimitsAsker != "" && m.LimitsAsker != own:
 		g.receiveLimitsAsker(m.LimitsAsker)
+	case m.LimitsUnknown != "":
+		g.receiveLimitsUnknown(m.LimitsUnknown)
 	case m.Permits != nil:
 		g.receivePermits(now, m.Permits)
 	case m.Query != nil:
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -131,6 +131,7 @@
 	}
 	g.crashes.allowance = allowance{perSecond: crashBytesPerSecond, burst: crashBurst}
 	g.limits.allowance = allowance{perSecond: limitBytesPerSecond, burst: limitBurst}
+	g.limitAsks.unknown = map[string]bool{}
 	g.limitAsks.allowance = allowance{perSecond: answerBytesPerSecond, burst: answerBurst}
 	g.permits.forgotten = map[string]forgottenPeer{}
 	g.permits.allowance = allowance{perSecond: permitBytesPerSecond, burst: permitBurst}
