--- a/internal/router/peers/limitasks.go
+++ b/internal/router/peers/limitasks.go
@@ -30,14 +30,13 @@
 
 // limitAsks holds the questions for limits: this process's own and those of others.
 type limitAsks struct {
-	over     atomic.Bool // answered, nobody can, or limitAskWait has passed
-	answered bool
-	unknown  map[string]bool // addresses of processes that have no answer either
-	began    time.Time
-	lastAsk  time.Time
-	askers   []string // addresses of those that get an answer next
-	// allowance for answers
-	allowance allowance
+	over      atomic.Bool // answered, nobody can, or limitAskWait has passed
+	answered  bool
+	unknown   map[string]bool // addresses of processes that have no answer either
+	began     time.Time
+	lastAsk   time.Time
+	askers    []string  // addresses of those that get an answer next
+	allowance allowance // for answers
 }
 
 // KnowsLimits reports whether this process may take an endpoint that it knows no limit of
