A home sends its own calls when it grants itself permits

What callers saw: a gateway that is its own home for a limit, as one that runs alone always is, refused calls that it had a permit for: 4 of 5 lone calls at a third of the limit. Cause: the answer of a home to its own question is no message, and waiting calls were only placed after messages; the call found its permit no sooner than the next one came. Change: waiting calls are placed in each round in which a limit is known.

--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -69,6 +69,25 @@
 // traffic.
 const limitTraffic = 8<<10 - loadBytesPerSecond
 
+// Guards against a home that has a permit for a call of its own and does not send it.
+func TestHomeUsesItsOwnPermits(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := newLimitFleet(t, processes, 1)
+		f.say(named(3), f.endpoints...)
+		for range 5 {
+			for address := range f.groups {
+				s, ledger := f.schedulers[address], f.ledgers[address]
+				f.calls.Go(func() { f.call(address, s, ledger) })
+			}
+			f.play(t, time.Second)
+		}
+		if refused := f.refusals(); refused > 0 {
+			t.Errorf("%d of %d calls refused, want none at a third of the limit", refused, 5*processes)
+		}
+	}, 1)
+}
+
 // Guards against more calls than allowed while processes know different parts of the fleet.
 func TestLimitWithPartialViews(t *testing.T) {
 	t.Parallel()
--- a/internal/router/peers/permits.go
+++ b/internal/router/peers/permits.go
@@ -32,7 +32,6 @@
 // permitRounds holds what this process keeps between two rounds of messages about permits.
 type permitRounds struct {
 	allowance allowance
-	sent      bool // there were messages in the last round
 	view      limit.View
 	viewAt    time.Time
 	forgotten map[string]forgottenPeer // peers that were removed for lack of a sign of life, by address
@@ -137,10 +136,7 @@
 	}
 	view := g.permitView(now)
 	due := g.cfg.Limits.Tick(now, g.cfg.Scheduler.Demand(now), view)
-	if len(due) > 0 || g.permits.sent {
-		g.cfg.Scheduler.PlaceWaiting(now) // a home grants permits to itself too
-	}
-	g.permits.sent = len(due) > 0
+	g.cfg.Scheduler.PlaceWaiting(now) // a home answers its own questions without a message
 	var packets []Packet
 	spent := 0
 	for _, p := range due {
