Calls without room within limits are refused at once

Found while tracing known red 15. Cause: the home of a limit tells a process when to ask again; its waiting calls took that for the time at which there would be room, and asked one home after the other until their deadline. A home also queued one call more than it could serve in time. Change: a home's refusal counts for all calls that came before it. A call waits while a home is still to be asked or has queued it; while all have refused, those that come next do not wait. An answer of a process that is not the home refuses nothing (new field of permit answers). Homes are asked twice as often, so that no permit is left. Ruled out: ordering a home's queue by deadline, or asking for the first waiting call's time only (trials: no gain).

--- a/internal/router/limit/gate.go
+++ b/internal/router/limit/gate.go
@@ -18,8 +18,8 @@
 
 	// A process that gets no permit is told not to ask again for so long that each gate is
 	// asked about asksPerPermit times as often as it hands out permits, and asksPerSecond.
-	asksPerPermit = 2.0
-	asksPerSecond = 4.0
+	asksPerPermit = 4.0
+	asksPerSecond = 8.0
 	minAgain      = 100 * time.Millisecond
 	maxAgain      = 10 * time.Second
 )
@@ -62,10 +62,10 @@
 		return
 	case home != l.cfg.Address:
 		l.probes[home] = a.Gate // the sender may have got no answer from it
-		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout}
+		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout, NotHome: true}
 		return
 	case !l.isOpen(a.Gate):
-		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout}
+		l.replies[from] = Answer{Gate: a.Gate, Again: answerTimeout, NotHome: true}
 		return
 	}
 	g := l.gates[a.Gate]
@@ -100,7 +100,7 @@
 	}
 	a := g.askers[i]
 	a.calls, a.priority, a.until, a.answerDue, a.again = 0, ask.Priority, now.Add(min(maxPatience, ask.Patience)), true, 0
-	room := 1 + int(g.permits+rate*a.until.Sub(now).Seconds()) // one in reserve
+	room := int(g.permits + rate*a.until.Sub(now).Seconds())
 	for a.calls < ask.Calls && a.calls+1+g.ahead(now, a, a.calls+1) <= room {
 		a.calls++
 	}
--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -75,7 +75,10 @@
 	Gate    Gate
 	Granted int           // permits
 	Queued  int           // permits that are to follow
-	Again   time.Duration // no new Ask before, if the home has no permits for the other calls
+	Again   time.Duration // no new Ask before, if there are no permits for the other calls
+	// NotHome says that the sender hands out no permits for the gate, so that the home has not
+	// refused any.
+	NotHome bool
 }
 
 // Packet is a message for one process.
@@ -134,7 +137,7 @@
 	}
 	state.Rate = max(minRate, w.Rate)
 	if n := l.needs[key]; n != nil {
-		state.Permits, state.Queued, state.Wait = n.held(now), n.queued(now), max(0, n.notBefore.Sub(now))
+		state.Permits, state.Queued, state.Wait, state.Refused = n.held(now), n.queued(now), max(0, n.notBefore.Sub(now)), n.refused
 	}
 	return state, true
 }
--- a/internal/router/limit/need.go
+++ b/internal/router/limit/need.go
@@ -26,6 +26,7 @@
 	gate      Gate      // that was asked
 	home      string    // of that gate
 	notBefore time.Time // of the next Ask: the home has no more permits for this process
+	refused   time.Time // when the home last said so
 }
 
 // held returns the number of permits that can be used.
@@ -93,5 +94,8 @@
 	n.asked, n.answerBy = a.Queued, time.Time{}
 	if a.Again > 0 {
 		n.notBefore = now.Add(a.Again)
+		if n.refused = now; a.NotHome {
+			n.refused = time.Time{}
+		}
 	}
 }
--- a/internal/router/peers/limits_fleet_test.go
+++ b/internal/router/peers/limits_fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -27,6 +28,13 @@
 
 	limitedService = "l"
 	limitPatience  = 400 * time.Millisecond // of a call that waits for a permit
+
+	// promptRefusal is how long a refused call may wait: for an answer from the home of each of
+	// three endpoints. The target for the share of those that wait no longer is known red, entry
+	// 15 of KNOWN-RED.txt: minPromptShare is checked without KNOWN_RED=1.
+	promptRefusal     = 200 * time.Millisecond
+	minPromptShare    = 0.5
+	targetPromptShare = 0.9
 )
 
 // limitedEndpoint is an endpoint that may name a limit.
@@ -54,6 +62,7 @@
 
 	mu              sync.Mutex
 	served, refused int
+	refusedAfter    []time.Duration // how long each refused call waited
 }
 
 func newLimitFleet(t *testing.T, processes, endpoints int) *limitFleet {
@@ -135,7 +144,7 @@
 	now, req := time.Now(), sched.Request{Service: limitedService}
 	lease, placed := s.TryPlace(now, req)
 	if !placed {
-		if wait, limited := s.LimitedWait(now, req); !limited || wait <= limitPatience {
+		if s.MayQueue(now, req, limitPatience) {
 			lease = s.Wait(context.Background(), now, req, sched.WaitOptions{StartBy: now.Add(limitPatience), Deadline: now.Add(limitPatience)})
 		}
 	}
@@ -143,6 +152,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.refused++
+		f.refusedAfter = append(f.refusedAfter, time.Since(now))
 		return
 	}
 	f.mu.Lock()
@@ -214,6 +224,27 @@
 	}
 }
 
+// expectPromptRefusals checks that most of the refused calls have not waited in vain.
+func (f *limitFleet) expectPromptRefusals(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	share := minPromptShare
+	if os.Getenv("KNOWN_RED") != "" {
+		share = targetPromptShare
+	}
+	prompt := 0
+	for _, after := range f.refusedAfter {
+		if after <= promptRefusal {
+			prompt++
+		}
+	}
+	t.Logf("%d of %d refused calls waited for %v or less", prompt, f.refused, promptRefusal)
+	if f.refused == 0 || float64(prompt) < share*float64(f.refused) {
+		t.Errorf("%d of %d refused calls waited for %v or less, want %g of them", prompt, f.refused, promptRefusal, share)
+	}
+}
+
 // homeOf returns the process that most others take for the home of an endpoint: the one
 // that hands out its permits.
 func (f *limitFleet) homeOf(e *limitedEndpoint) string {
--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -69,6 +69,20 @@
 // traffic.
 const limitTraffic = 8<<10 - loadBytesPerSecond
 
+// Guards against calls that wait until their deadline though the homes have said that there is
+// no room for them.
+func TestCallWithoutRoomIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	forFleets(t, func(t *testing.T, processes int) {
+		f := newLimitFleet(t, processes, 3)
+		f.demand = 40
+		since := f.say(named(3), f.endpoints...)
+		f.play(t, 20*time.Second)
+		f.expectPromptRefusals(t)
+		f.expectUse(t, f.endpoints, 3, since.Add(limitContact), time.Now())
+	}, 4, 8, 103)
+}
+
 // Guards against a home that has a permit for a call of its own and does not send it.
 func TestHomeUsesItsOwnPermits(t *testing.T) {
 	t.Parallel()
--- a/internal/router/peers/permits.go
+++ b/internal/router/peers/permits.go
@@ -91,6 +91,7 @@
 	Granted  uint16
 	Queued   uint16
 	AgainMs  int64
+	NotHome  bool
 }
 
 // Greater numbers come from a damaged message.
@@ -106,7 +107,7 @@
 			return permitAsk{Gate: encodeGate(a.Gate), Calls: uint16(min(maxPermits, a.Calls)), Priority: int16(min(maxPriority, max(-maxPriority, a.Priority))), PatienceMs: a.Patience.Milliseconds()}
 		}),
 		Answers: lo.Map(m.Answers, func(a limit.Answer, _ int) permitAnswer {
-			return permitAnswer{Gate: encodeGate(a.Gate), Granted: uint16(min(maxPermits, a.Granted)), Queued: uint16(min(maxPermits, a.Queued)), AgainMs: a.Again.Milliseconds()}
+			return permitAnswer{Gate: encodeGate(a.Gate), Granted: uint16(min(maxPermits, a.Granted)), Queued: uint16(min(maxPermits, a.Queued)), AgainMs: a.Again.Milliseconds(), NotHome: a.NotHome}
 		}),
 	}
 	if isLarge && len(m.Asks) > 0 {
@@ -123,7 +124,7 @@
 			return limit.Ask{Gate: a.Gate.gate(), Calls: count(a.Calls), Priority: int(a.Priority), Patience: ms(a.PatienceMs)}
 		}),
 		Answers: lo.Map(p.Answers, func(a permitAnswer, _ int) limit.Answer {
-			return limit.Answer{Gate: a.Gate.gate(), Granted: count(a.Granted), Queued: count(a.Queued), Again: ms(a.AgainMs)}
+			return limit.Answer{Gate: a.Gate.gate(), Granted: count(a.Granted), Queued: count(a.Queued), Again: ms(a.AgainMs), NotHome: a.NotHome}
 		}),
 	}
 }
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -23,6 +23,7 @@
 	Permits int           // calls that this process may send now
 	Queued  int           // permits that are to come
 	Wait    time.Duration // until this process may ask for more permits
+	Refused time.Time     // when the home last had no permit for a waiting call, zero if never
 }
 
 // Demand is how many calls this process wants to send to an endpoint.
@@ -149,52 +150,84 @@
 	d.Patience = max(d.Patience, w.options.Deadline.Sub(now))
 }
 
-// LimitedWait returns how long a call is expected to wait if it is queued now. limited is
-// false if it may be sent to an endpoint that names no limit, or to none.
-func (s *Scheduler) LimitedWait(now time.Time, req Request) (wait time.Duration, limited bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	ahead := 0
-	for _, w := range s.waiting {
-		if w.request.Service == req.Service {
-			ahead++
-		}
-	}
-	return s.limitedWait(now, req, ahead)
+// limitedRoom is what the limits of the endpoints of a call leave for it and the calls
+// before it.
+type limitedRoom struct {
+	rate    float64       // of all of them
+	permits int           // that this process has or is to get
+	open    int           // endpoints at which it may ask for a permit
+	wait    time.Duration // until it may ask at another one
+	later   int           // endpoints that have not refused one and at which it may ask later
 }
 
-// limitedWait is LimitedWait for a call with a number of others before it.
-func (s *Scheduler) limitedWait(now time.Time, req Request, ahead int) (wait time.Duration, limited bool) {
+// limitedRoom returns the room for a call that has waited since a time. It does not count
+// endpoints whose homes have had no permit for it. limited is false if the call may be sent to
+// an endpoint that names no limit, or to none.
+func (s *Scheduler) limitedRoom(now time.Time, req Request, since time.Time) (r limitedRoom, limited bool) {
 	if !s.mayBeLimited(now) {
-		return 0, false
+		return limitedRoom{}, false
 	}
-	var rate float64
-	var covered, open int // open: endpoints for which this process may ask for permits
 	for _, e := range s.endpoints {
 		if !s.usable(now, e, req) {
 			continue
 		}
 		l, named := s.limit(now, e)
+		if !named {
+			return limitedRoom{}, false
+		}
+		if l.Wait > 0 && (r.wait == 0 || l.Wait < r.wait) {
+			r.wait = l.Wait
+		}
 		switch {
-		case !named:
-			return 0, false
+		case l.Refused.After(since):
 		case l.Wait == 0:
-			open++
-		case rate == 0 || l.Wait < wait:
-			wait = l.Wait
+			r.open++
+		case l.Refused.IsZero():
+			r.later++
 		}
-		rate += l.Rate
-		covered += l.Permits + l.Queued
+		r.rate += l.Rate
+		r.permits += l.Permits + l.Queued
 	}
+	return r, r.rate > 0
+}
+
+// expectedWait returns how long a call waits with a number of others before it. The homes
+// may have saved up a permit for each.
+func (r limitedRoom) expectedWait(ahead int) time.Duration {
 	switch {
-	case rate == 0:
-		return 0, false
-	case covered > ahead:
-		return 0, true
-	case open > 0: // the homes may have saved up a permit for each
-		return time.Duration(float64(max(0, ahead+1-covered-open)) / rate * float64(time.Second)), true
-	}
-	return wait, true
+	case r.permits > ahead:
+		return 0
+	case r.open > 0:
+		return time.Duration(float64(max(0, ahead+1-r.permits-r.open)) / r.rate * float64(time.Second))
+	}
+	return r.wait
+}
+
+// hasProspect reports whether a call with a number of others before it may get a permit
+// within a time.
+func (r limitedRoom) hasProspect(ahead int, within time.Duration) bool {
+	if r.permits <= ahead && r.open == 0 && ahead-r.permits >= r.later {
+		return false
+	}
+	return r.expectedWait(ahead) <= within
+}
+
+// LimitedWait returns how long a call is expected to wait if it is queued now. limited is
+// false if it may be sent to an endpoint that names no limit, or to none.
+func (s *Scheduler) LimitedWait(now time.Time, req Request) (wait time.Duration, limited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	room, limited := s.limitedRoom(now, req, now)
+	return room.expectedWait(s.waitingFor(req.Service)), limited
+}
+
+// MayQueue reports whether a call may get a place within a time if it is queued now, as far as
+// limits matter.
+func (s *Scheduler) MayQueue(now time.Time, req Request, within time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	room, limited := s.limitedRoom(now, req, now)
+	return !limited || room.hasProspect(s.waitingFor(req.Service), within)
 }
 
 // PlaceWaiting places the waiting calls for which there is room now, and ends the wait of
--- a/internal/router/sched/limits_test.go
+++ b/internal/router/sched/limits_test.go
@@ -147,6 +147,42 @@
 	}
 }
 
+// A waiting call is refused once the homes of all its endpoints have had no permit for it,
+// though it may ask again before its deadline. A call that comes meanwhile does not wait.
+func TestTurnedAwayCallIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := fixedLimits{"a": {Rate: 3}, "b": {Rate: 3}}
+		s, began, req := newLimited(limits), time.Now(), Request{Service: "s"}
+		done := make(chan *Lease, 1)
+		go func() {
+			done <- s.Wait(t.Context(), began, req, WaitOptions{StartBy: began.Add(time.Second), Deadline: began.Add(time.Second)})
+		}()
+		synctest.Wait()
+		refuse := func(id string) {
+			time.Sleep(40 * time.Millisecond)
+			limits[id].Refused, limits[id].Wait = time.Now(), 100*time.Millisecond
+			s.PlaceWaiting(time.Now())
+			synctest.Wait()
+		}
+		refuse("a")
+		if s.Waiting("s") != 1 {
+			t.Fatal("the call does not wait for the answer of the other home")
+		}
+		limits["a"].Wait = 0 // it may ask again, which other calls do
+		refuse("b")
+		if lease := <-done; lease != nil || time.Since(began) != 80*time.Millisecond {
+			t.Errorf("lease %v after %v, want none after 80 ms", lease, time.Since(began))
+		}
+		if !s.MayQueue(time.Now(), req, time.Second) {
+			t.Error("a call may not queue though a home can be asked")
+		}
+		limits["a"].Wait = 50 * time.Millisecond
+		if s.MayQueue(time.Now(), req, time.Second) {
+			t.Error("a call may queue though the homes have no permits")
+		}
+	})
+}
+
 // A call that comes when nobody waits asks for a permit, however low the rate: its home may
 // have saved one up, and only a response tells that the limit has ended.
 func TestLoneCallAsksForAPermit(t *testing.T) {
--- a/internal/router/sched/wait.go
+++ b/internal/router/sched/wait.go
@@ -24,6 +24,7 @@
 	request Request
 	options WaitOptions
 	arrived uint64      // arrival number, breaks ties
+	since   time.Time   // start of the wait
 	granted chan *Lease // buffered: sent to with the scheduler locked; nil if the wait is hopeless
 }
 
@@ -48,7 +49,7 @@
 func (s *Scheduler) enqueue(now time.Time, req Request, options WaitOptions) *waiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := &waiter{request: req, options: options, arrived: s.arrivals, granted: make(chan *Lease, 1)}
+	w := &waiter{request: req, options: options, arrived: s.arrivals, since: now, granted: make(chan *Lease, 1)}
 	s.arrivals++
 	if len(s.waiting) >= maxWaiting {
 		return nil
@@ -94,7 +95,7 @@
 			}
 			blocked[service] = len(w.request.Regions) == 0
 		}
-		if wait, limited := s.limitedWait(now, w.request, ahead[service]); limited && now.Add(wait).After(w.options.Deadline) {
+		if room, limited := s.limitedRoom(now, w.request, w.since); limited && !room.hasProspect(ahead[service], w.options.Deadline.Sub(now)) {
 			w.granted <- nil
 			return true
 		}
@@ -121,7 +122,10 @@
 func (s *Scheduler) Waiting(service string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := 0
+	return s.waitingFor(service)
+}
+
+func (s *Scheduler) waitingFor(service string) (count int) {
 	for _, w := range s.waiting {
 		if w.request.Service == service {
 			count++
