Load reports leave room for crash reports in large fleets

At 195 processes a region their rate alone leaves too little. Change: load reports save up 1 KB and take 2,000 bytes a second at most. Ruled out by the earlier trials: fewer bytes or less burst for crash reports.

--- a/internal/router/peers/crash_test.go
+++ b/internal/router/peers/crash_test.go
@@ -279,7 +279,7 @@
 // processes learn too late because of their bound.
 func TestCrashTraffic(t *testing.T) {
 	sizes := []int{103}
-	if os.Getenv("KNOWN_RED") != "" { // known red, entry 10 of KNOWN-RED.txt
+	if os.Getenv("LARGE_FLEETS") != "" { // takes minutes; .ci/run sets it
 		sizes = append(sizes, 390)
 	}
 	forFleets(t, func(t *testing.T, processes int) {
--- a/internal/router/peers/load.go
+++ b/internal/router/peers/load.go
@@ -21,8 +21,8 @@
 	loadHeartbeat = time.Second
 	// loadBytesPerSecond bounds what a process spends on load reports; loadBurst is how
 	// much it may save up. Reports that are not sent are part of the next one.
-	loadBytesPerSecond = 2200
-	loadBurst          = 2 << 10
+	loadBytesPerSecond = 2000
+	loadBurst          = 1 << 10
 	// silentPartner is how long after its last message a partner gets heartbeats only.
 	silentPartner = 3 * time.Second
 
