What a limit's home refuses holds for calls that are not more urgent

Cause, found by reading again: a home that has no permit for a call tells the process when to ask again, and a more urgent call was refused until then too (before it waited), though the home would have served it first. Change: a refusal has the priority of the call that it was for; for a more urgent one the home is asked at once.

--- a/internal/router/limit/limit.go
+++ b/internal/router/limit/limit.go
@@ -137,7 +137,8 @@
 	}
 	state.Rate = max(minRate, w.Rate)
 	if n := l.needs[key]; n != nil {
-		state.Permits, state.Queued, state.Wait, state.Refused = n.held(now), n.queued(now), max(0, n.notBefore.Sub(now)), n.refused
+		state.Permits, state.Queued, state.Wait = n.held(now), n.queued(now), max(0, n.notBefore.Sub(now))
+		state.Refused, state.RefusedPriority = n.refused, n.refusedPriority
 	}
 	return state, true
 }
--- a/internal/router/limit/limit_test.go
+++ b/internal/router/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -251,3 +252,35 @@
 		t.Errorf("%d permits, want 3", granted)
 	}
 }
+
+// A process whose call was refused asks for a more urgent one at once, and for others only when
+// the home said.
+func TestUrgentCallIsAskedForAtOnce(t *testing.T) {
+	now, key := time.Now(), sched.KeyOf("e")
+	view := View{Live: []string{"a", "b"}, Known: 2}
+	ledgers := map[string]*Ledger{}
+	for _, address := range view.Live {
+		ledgers[address] = newLedger(address)
+		ledgers[address].Hear(now, engine, now, Statement{Named: true, Rate: 3})
+		ledgers[address].Tick(now, nil, view)
+	}
+	home := ledgers["a"].Home(key)
+	asker := ledgers[map[string]string{"a": "b", "b": "a"}[home]]
+	for _, step := range []struct {
+		calls, priority int
+		asks            bool
+	}{{4, 3, true}, {5, 3, false}, {6, 1, true}, {7, 1, false}, {7, 0, true}} {
+		now = now.Add(20 * time.Millisecond)
+		asked := false
+		for _, p := range asker.Tick(now, map[sched.Key]sched.Demand{key: {Calls: step.calls, Priority: step.priority, Patience: 500 * time.Millisecond}}, view) {
+			asked = asked || p.To == home && slices.ContainsFunc(p.Message.Asks, func(a Ask) bool { return a.Calls > 0 })
+			ledgers[p.To].Receive(now, asker.cfg.Address, p.Message)
+		}
+		for _, p := range ledgers[home].Tick(now, nil, view) {
+			ledgers[p.To].Receive(now, home, p.Message)
+		}
+		if asked != step.asks {
+			t.Errorf("%d calls of priority %d: asked %v, want %v", step.calls, step.priority, asked, step.asks)
+		}
+	}
+}
--- a/internal/router/limit/need.go
+++ b/internal/router/limit/need.go
@@ -26,7 +26,10 @@
 	gate      Gate      // that was asked
 	home      string    // of that gate
 	notBefore time.Time // of the next Ask: the home has no more permits for this process
-	refused   time.Time // when the home last said so
+	priority  int       // of the last Ask
+	refused   time.Time // when the home last had no permits for this process, zero if never
+	// refusedPriority is the priority of the calls that got none.
+	refusedPriority int
 }
 
 // held returns the number of permits that can be used.
@@ -60,11 +63,12 @@
 		gate := l.homes.gate(key, l.words[key].Rate)
 		home := l.homes.of(gate)
 		missing := d.Calls - n.held(now)
-		if missing <= 0 || now.Before(n.notBefore) && home == n.home || !n.mustAsk(now, missing, gate, home) {
+		if missing <= 0 || home == n.home && n.mustWait(now, d.Priority) || !n.mustAsk(now, missing, gate, home) {
 			continue
 		}
 		patience := min(maxPatience, d.Patience-answerMargin)
 		n.asked, n.gate, n.home, n.askUntil, n.answerBy = missing, gate, home, now.Add(patience), now.Add(answerTimeout)
+		n.priority = d.Priority
 		l.cfg.Metrics.Permits.WithLabelValues("asked").Add(float64(missing))
 		a := Ask{Gate: gate, Calls: missing, Priority: d.Priority, Patience: patience}
 		if home == l.cfg.Address {
@@ -77,6 +81,11 @@
 	}
 }
 
+// mustWait reports whether calls of a priority must wait until the home may be asked again.
+func (n *need) mustWait(now time.Time, priority int) bool {
+	return now.Before(n.notBefore) && (n.refused.IsZero() || priority >= n.refusedPriority)
+}
+
 // mustAsk reports whether the last Ask does not cover the missing permits.
 func (n *need) mustAsk(now time.Time, missing int, gate Gate, home string) bool {
 	return gate != n.gate || home != n.home || missing > n.queued(now) || !n.answerBy.IsZero() && now.After(n.answerBy)
@@ -94,7 +103,7 @@
 	n.asked, n.answerBy = a.Queued, time.Time{}
 	if a.Again > 0 {
 		n.notBefore = now.Add(a.Again)
-		if n.refused = now; a.NotHome {
+		if n.refused, n.refusedPriority = now, n.priority; a.NotHome {
 			n.refused = time.Time{}
 		}
 	}
--- a/internal/router/peers/limits_fleet_test.go
+++ b/internal/router/peers/limits_fleet_test.go
@@ -144,7 +144,7 @@
 	now, req := time.Now(), sched.Request{Service: limitedService}
 	lease, placed := s.TryPlace(now, req)
 	if !placed {
-		if s.MayQueue(now, req, limitPatience) {
+		if s.MayQueue(now, req, 0, limitPatience) {
 			lease = s.Wait(context.Background(), now, req, sched.WaitOptions{StartBy: now.Add(limitPatience), Deadline: now.Add(limitPatience)})
 		}
 	}
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
@@ -23,7 +24,23 @@
 	Permits int           // calls that this process may send now
 	Queued  int           // permits that are to come
 	Wait    time.Duration // until this process may ask for more permits
-	Refused time.Time     // when the home last had no permit for a waiting call, zero if never
+	Refused time.Time     // when the home last had no permit for a call, zero if never
+	// RefusedPriority is the priority of that call. More urgent ones may be asked for at once.
+	RefusedPriority int
+}
+
+// waitFor returns how long a call of a priority has to wait until this process may ask for a
+// permit for it.
+func (l Limit) waitFor(priority int) time.Duration {
+	if !l.Refused.IsZero() && priority < l.RefusedPriority {
+		return 0
+	}
+	return l.Wait
+}
+
+// refusedSince reports whether the home has had no permit for a call of a priority since a time.
+func (l Limit) refusedSince(since time.Time, priority int) bool {
+	return l.Refused.After(since) && priority >= l.RefusedPriority
 }
 
 // Demand is how many calls this process wants to send to an endpoint.
@@ -132,7 +149,7 @@
 	bestWait := 0.0
 	for _, e := range limited {
 		covered := e.limit.Permits + e.limit.Queued - e.demand.Calls
-		if !s.usable(now, e.endpointState, w.request) || e.limit.Wait > 0 && covered <= 0 {
+		if !s.usable(now, e.endpointState, w.request) || e.limit.waitFor(w.options.Priority) > 0 && covered <= 0 {
 			continue
 		}
 		if wait := float64(max(0, 1-covered)) / e.limit.Rate; best == nil || wait < bestWait {
@@ -160,10 +177,10 @@
 	later   int           // endpoints that have not refused one and at which it may ask later
 }
 
-// limitedRoom returns the room for a call that has waited since a time. It does not count
-// endpoints whose homes have had no permit for it. limited is false if the call may be sent to
-// an endpoint that names no limit, or to none.
-func (s *Scheduler) limitedRoom(now time.Time, req Request, since time.Time) (r limitedRoom, limited bool) {
+// limitedRoom returns the room for a call of a priority that has waited since a time. It does
+// not count endpoints whose homes have had no permit for it. limited is false if the call may
+// be sent to an endpoint that names no limit, or to none.
+func (s *Scheduler) limitedRoom(now time.Time, req Request, priority int, since time.Time) (r limitedRoom, limited bool) {
 	if !s.mayBeLimited(now) {
 		return limitedRoom{}, false
 	}
@@ -175,12 +192,13 @@
 		if !named {
 			return limitedRoom{}, false
 		}
-		if l.Wait > 0 && (r.wait == 0 || l.Wait < r.wait) {
-			r.wait = l.Wait
+		wait := l.waitFor(priority)
+		if wait > 0 && (r.wait == 0 || wait < r.wait) {
+			r.wait = wait
 		}
 		switch {
-		case l.Refused.After(since):
-		case l.Wait == 0:
+		case l.refusedSince(since, priority):
+		case wait == 0:
 			r.open++
 		case l.Refused.IsZero():
 			r.later++
@@ -212,21 +230,24 @@
 	return r.expectedWait(ahead) <= within
 }
 
+// leastUrgent is above the priority of any call.
+const leastUrgent = math.MaxInt
+
 // LimitedWait returns how long a call is expected to wait if it is queued now. limited is
 // false if it may be sent to an endpoint that names no limit, or to none.
 func (s *Scheduler) LimitedWait(now time.Time, req Request) (wait time.Duration, limited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room, limited := s.limitedRoom(now, req, now)
+	room, limited := s.limitedRoom(now, req, leastUrgent, now)
 	return room.expectedWait(s.waitingFor(req.Service)), limited
 }
 
-// MayQueue reports whether a call may get a place within a time if it is queued now, as far as
-// limits matter.
-func (s *Scheduler) MayQueue(now time.Time, req Request, within time.Duration) bool {
+// MayQueue reports whether a call of a priority may get a place within a time if it is queued
+// now, as far as limits matter.
+func (s *Scheduler) MayQueue(now time.Time, req Request, priority int, within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room, limited := s.limitedRoom(now, req, now)
+	room, limited := s.limitedRoom(now, req, priority, now)
 	return !limited || room.hasProspect(s.waitingFor(req.Service), within)
 }
 
--- a/internal/router/sched/limits_test.go
+++ b/internal/router/sched/limits_test.go
@@ -173,16 +173,36 @@
 		if lease := <-done; lease != nil || time.Since(began) != 80*time.Millisecond {
 			t.Errorf("lease %v after %v, want none after 80 ms", lease, time.Since(began))
 		}
-		if !s.MayQueue(time.Now(), req, time.Second) {
+		if !s.MayQueue(time.Now(), req, 0, time.Second) {
 			t.Error("a call may not queue though a home can be asked")
 		}
 		limits["a"].Wait = 50 * time.Millisecond
-		if s.MayQueue(time.Now(), req, time.Second) {
+		if s.MayQueue(time.Now(), req, 0, time.Second) {
 			t.Error("a call may queue though the homes have no permits")
 		}
 	})
 }
 
+// What a home has refused to a call says nothing about more urgent ones, which it serves first.
+func TestUrgentCallAsksThoughOthersWereRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		s := newLimited(fixedLimits{"a": {Rate: 3, Wait: time.Second, Refused: now.Add(time.Millisecond), RefusedPriority: 2}})
+		req := Request{Service: "s", Exclude: []string{"b"}}
+		for priority, want := range []bool{true, true, false, false} {
+			if got := s.MayQueue(now, req, priority, 400*time.Millisecond); got != want {
+				t.Errorf("a call of priority %d may queue: %v, want %v", priority, got, want)
+			}
+		}
+		go s.Wait(t.Context(), now, req, WaitOptions{Priority: 1, StartBy: now.Add(time.Second), Deadline: now.Add(time.Second)})
+		synctest.Wait()
+		s.PlaceWaiting(now)
+		if d := s.Demand(now)[KeyOf("a")]; d.Calls != 1 || d.Priority != 1 {
+			t.Errorf("demand %+v, want one call of priority 1", d)
+		}
+	})
+}
+
 // A call that comes when nobody waits asks for a permit, however low the rate: its home may
 // have saved one up, and only a response tells that the limit has ended.
 func TestLoneCallAsksForAPermit(t *testing.T) {
--- a/internal/router/sched/wait.go
+++ b/internal/router/sched/wait.go
@@ -95,7 +95,7 @@
 			}
 			blocked[service] = len(w.request.Regions) == 0
 		}
-		if room, limited := s.limitedRoom(now, w.request, w.since); limited && !room.hasProspect(ahead[service], w.options.Deadline.Sub(now)) {
+		if room, limited := s.limitedRoom(now, w.request, w.options.Priority, w.since); limited && !room.hasProspect(ahead[service], w.options.Deadline.Sub(now)) {
 			w.granted <- nil
 			return true
 		}
--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -85,7 +85,7 @@
 	options := waitOptions(in.Call)
 	if wait, limited := s.Scheduler.LimitedWait(now, req); limited {
 		options.Deadline = now.Add(time.Duration(limitedWaitShare * float64(options.Deadline.Sub(now))))
-		if !s.Scheduler.MayQueue(now, req, options.Deadline.Sub(now)) {
+		if !s.Scheduler.MayQueue(now, req, options.Priority, options.Deadline.Sub(now)) {
 			return nil, s.refuseLimited(in.Call, usable, wait)
 		}
 	}
