Tests count all bytes of a process while endpoints name limits

What was seen: TestAllEndpointsNameALimit compared the bytes of words and permits, each counted once, with what 8 KB/s leave; the bound holds for all messages of a process, sent and received. Change: the check counts all; where it fails it needs KNOWN_RED=1 (known red 16, six cases). The bound for what limits add is again what it was: lowering loadBytesPerSecond had widened it by 200 bytes/s unnoticed. Ruled out, trial: 1,500 bytes/s for permits that load reports give up. Measured: go test passes; with KNOWN_RED=1 six cases fail.

--- a/internal/router/peers/limits_test.go
+++ b/internal/router/peers/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -48,7 +49,7 @@
 				f.play(t, time.Second)
 				since := f.say(named(rate), f.endpoints...)
 				f.play(t, limitContact)
-				f.bytes = 0
+				f.bytes, f.fleet.bytes = 0, 0
 				const seconds = 6
 				f.play(t, seconds*time.Second)
 				for _, e := range f.endpoints {
@@ -60,14 +61,19 @@
 				if perSecond > limitTraffic {
 					t.Errorf("%d bytes a second of a process for limits, want at most %d", perSecond, limitTraffic)
 				}
+				all := 2 * f.fleet.bytes / processes / seconds
+				t.Logf("%d bytes a second sent and received by a process", all)
+				isKnownRed := processes == 4 || rate >= 25 // entry 16 of KNOWN-RED.txt
+				if all > 8<<10 && (!isKnownRed || os.Getenv("KNOWN_RED") != "") {
+					t.Errorf("a process sends and receives %d bytes a second, want at most 8 KB", all)
+				}
 			}, sizes...)
 		})
 	}
 }
 
-// limitTraffic is what load reports leave of the 8 KB a second that a process has for control
-// traffic.
-const limitTraffic = 8<<10 - loadBytesPerSecond
+// limitTraffic bounds the bytes a second that a process sends because of limits.
+const limitTraffic = 8<<10 - 2200
 
 // Guards against calls that wait until their deadline though the homes have said that there is
 // no room for them.
