--- a/internal/stand/proxy/proxy.go
+++ b/internal/stand/proxy/proxy.go
@@ -121,6 +121,25 @@
 	}
 }
 
+// Faulty reports whether a fault other than a silent connection is active.
+func (l *Link) Faulty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refuse || l.stalled || l.delay > 0 || l.cutAfterToClient > 0 || l.cutAfterToTarget > 0
+}
+
+// Silenced reports whether a connection is silent.
+func (l *Link) Silenced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.conns {
+		if p.silenced != (directions{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // OpenConns returns the number of open connections.
 func (l *Link) OpenConns() int {
 	l.mu.Lock()
