What an endpoint says of itself outlives its registry entry

What callers and workers saw: a worker that had answered 503 with Retry-After got calls again as soon as its entry had lapsed and come back, and one that had said that it leaves got one of each gateway that its peers no longer told of it. Cause: both words were fields of the record that an entry gets when it is read. A new entry got a new record; a word about an endpoint that was not listed just then was dropped; one that came while the entry said draining was not recorded, so that the entry's next change ended it. Class: knowledge about a process, kept on a record of something else that ends sooner. Change: router/avail keeps them by start of the endpoint (ID and start time), apart from entries and bounded in memory; the scheduler asks it whenever it makes a state, and for the time that an endpoint is closed. A peer's word is recorded and passed on also for an endpoint that this process does not know, and is not replaced by what the registry says. Ruled out: keeping the old record until its words end. It leaves out words that come before the entry.

--- a/internal/fleet/watch/drain.go
+++ b/internal/fleet/watch/drain.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
-	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
 const (
@@ -55,5 +54,5 @@
 
 // HearLeaving takes note that an endpoint has said itself that it leaves.
 func (w *Watcher) HearLeaving(e endpt.Endpoint) {
-	w.reportChange(w.Scheduler.MarkLeaving(e.ID, e.StartedMs, sched.RevisionUntilRestart))
+	w.reportChange(w.Scheduler.HearLeaving(time.Now(), e))
 }
--- a/internal/router/peers/message.go
+++ b/internal/router/peers/message.go
@@ -43,6 +43,9 @@
 	Epoch     uint64 `msgpack:"e,omitempty"` // of the registry, that the revision belongs to
 }
 
+// saidItself reports whether the endpoint has said that it leaves, and not the registry.
+func (l leavingInfo) saidItself() bool { return l.Revision == sched.RevisionUntilRestart }
+
 // member is a process that the sender knows.
 type member struct {
 	Address string `msgpack:"a"`
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/fleet/mirror"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
@@ -254,21 +255,27 @@
 	g.applyLeaving(now, n.Address, n.Leaving)
 }
 
-// applyLeaving marks the endpoints that a peer reports as leaving. A report of a
-// registry revision that this process's copy contains is ignored: the copy is right. So is
-// one of another epoch, whose revisions cannot be compared.
+// applyLeaving marks the endpoints that a peer reports as leaving. What an endpoint has said
+// itself holds whatever the registry says. Another report, of a registry revision that this
+// process's copy contains, is ignored: the copy is right. So is one of another epoch, whose
+// revisions cannot be compared.
 func (g *Group) applyLeaving(now time.Time, from string, leaving map[string]leavingInfo) {
 	if len(leaving) == 0 {
 		return
 	}
 	own := g.cfg.Registry.Report(now)
 	for id, l := range leaving {
-		if saidItself := l.Revision == sched.RevisionUntilRestart; !saidItself && (l.Epoch != own.Epoch || l.Revision <= own.Cursor) {
-			continue
+		var c sched.Change
+		switch {
+		case l.saidItself():
+			c = g.cfg.Scheduler.HearLeaving(now, endpt.Endpoint{ID: id, StartedMs: l.StartedMs})
+		case l.Epoch == own.Epoch && l.Revision > own.Cursor:
+			c = g.cfg.Scheduler.MarkLeaving(id, l.StartedMs, l.Revision)
 		}
-		if c := g.cfg.Scheduler.MarkLeaving(id, l.StartedMs, l.Revision); c.Kind != sched.ChangeNone {
+		if c.Kind != sched.ChangeNone {
 			g.ReportLeaving(now, c.Endpoint)
-			g.cfg.Log.Info("endpoint_"+c.Kind.String(), zap.String("endpoint", id), zap.String("told_by", from))
+			g.cfg.Log.Info("endpoint_"+c.Kind.String(), zap.String("endpoint", id), zap.Int64("started_ms", l.StartedMs),
+				zap.Bool("said_itself", l.saidItself()), zap.String("told_by", from))
 		}
 	}
 }
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -197,7 +197,11 @@
 	epoch := g.cfg.Registry.Report(now).Epoch // before locking, as in gossipPackets
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving[e.ID] = leavingRecord{leavingInfo{e.StartedMs, e.Revision, epoch}, now}
+	next := leavingInfo{e.StartedMs, e.Revision, epoch}
+	if known := g.leaving[e.ID]; known.saidItself() && known.StartedMs >= next.StartedMs && !next.saidItself() {
+		return // what the registry says adds nothing to it
+	}
+	g.leaving[e.ID] = leavingRecord{next, now}
 	g.noticeDue = true
 }
 
--- a/internal/router/sched/epoch.go
+++ b/internal/router/sched/epoch.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		delete(s.departed, id)
-		s.endpoints[id] = &endpointState{endpoint: e.endpoint, key: e.key, leaving: make(chan struct{})}
+		s.endpoints[id] = s.newState(e.endpoint)
 		changes = append(changes, Change{e.endpoint, ChangeAdded})
 	}
 	return changes
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+	"github.com/mimosalock/mimosalock/internal/router/avail"
 )
 
 // Limits holds the rates that endpoints accept from all processes together, and the
@@ -66,7 +67,7 @@
 	if s.cfg.Limits != nil {
 		l, named = s.cfg.Limits.Limit(now, e.endpoint)
 	}
-	if wait := e.closedUntil.Sub(now); wait > 0 {
+	if wait := s.words.ClosedFor(now, incarnationOf(e.endpoint)); wait > 0 {
 		return Limit{Rate: max(l.Rate, closedRate), Wait: max(l.Wait, wait)}, true
 	}
 	return l, named
@@ -77,25 +78,15 @@
 
 // mayBeLimited reports whether any endpoint may have a limit.
 func (s *Scheduler) mayBeLimited(now time.Time) bool {
-	return s.cfg.Limits != nil && s.cfg.Limits.Any() || now.Before(s.closedUntil)
+	return s.cfg.Limits != nil && s.cfg.Limits.Any() || s.words.AnyClosed(now)
 }
 
-// Close stops calls to one incarnation of an endpoint until a time. It reports whether the
-// endpoint is known.
-func (s *Scheduler) Close(id string, startedMs int64, until time.Time) bool {
+// Close stops calls to one start of an endpoint until a time, also if the registry does not
+// list it. It reports whether that is later than known before.
+func (s *Scheduler) Close(now time.Time, ep endpt.Endpoint, until time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, known := s.endpoints[id]
-	if !known || e.endpoint.StartedMs != startedMs {
-		return false
-	}
-	if until.After(e.closedUntil) {
-		e.closedUntil = until
-	}
-	if until.After(s.closedUntil) {
-		s.closedUntil = until
-	}
-	return true
+	return s.words.Hear(now, incarnationOf(ep), avail.Closed{Until: until})
 }
 
 func (s *Scheduler) hasPermit(now time.Time, e *endpointState) bool {
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+	"github.com/mimosalock/mimosalock/internal/router/avail"
 )
 
 // Change is the effect of an update on one endpoint.
@@ -55,9 +56,11 @@
 		if known {
 			e.markLeaving(ep.Revision)
 		}
-		e = &endpointState{endpoint: ep, key: KeyOf(ep.ID), leaving: make(chan struct{})}
+		e = s.newState(ep)
 		s.endpoints[ep.ID] = e
 		switch {
+		case e.isLeaving:
+			return Change{ep, ChangeLeaving}
 		case ep.Draining:
 			e.markLeaving(ep.Revision)
 			return Change{ep, ChangeLeaving}
@@ -98,8 +101,25 @@
 	return e.isLeaving && !ep.Draining && ep.Revision > e.leavingRevision
 }
 
-// MarkLeaving marks an endpoint as leaving because a peer reported it. The report is
-// ignored if it is about another incarnation or if the endpoint has registered
+// HearLeaving takes note that an endpoint has said that it leaves, to this process or to a
+// peer, also if the registry does not list it. No later entry of the same start makes it
+// usable again.
+func (s *Scheduler) HearLeaving(now time.Time, ep endpt.Endpoint) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.words.Hear(now, incarnationOf(ep), avail.Leaving{}) {
+		return Change{}
+	}
+	if e, known := s.endpoints[ep.ID]; known && e.endpoint.StartedMs == ep.StartedMs {
+		e.markLeaving(RevisionUntilRestart)
+		e.leavingRevision = RevisionUntilRestart
+		ep = e.endpoint
+	}
+	return Change{ep, ChangeLeaving}.AtRevision(RevisionUntilRestart)
+}
+
+// MarkLeaving marks an endpoint as leaving because a peer's copy of the registry says so. The
+// report is ignored if it is about another incarnation or if the endpoint has registered
 // again after the reported revision.
 func (s *Scheduler) MarkLeaving(id string, startedMs int64, revision uint64) Change {
 	s.mu.Lock()
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+	"github.com/mimosalock/mimosalock/internal/router/avail"
 )
 
 const (
@@ -68,17 +69,17 @@
 // Scheduler holds the known endpoints, their loads and the waiting calls. It is safe
 // for concurrent use.
 type Scheduler struct {
-	cfg         Config
-	mu          sync.Mutex
-	endpoints   map[string]*endpointState
-	evacuated   map[string]bool      // data centres that are out of service
-	peers       map[string]peerLoad  // by peer name
-	peerTotals  map[Key]Load         // sum of the peers' loads, kept because every placement needs it
-	waiting     []*waiter            // in the order of placement, as last sorted
-	arrivals    uint64               // number of calls queued so far
-	departed    map[string]departure // endpoints that have left, by ID
-	closedUntil time.Time            // the latest of all endpoints
-	holdUntil   time.Time            // of the newest epoch of the registry, see BeginEpoch
+	cfg        Config
+	mu         sync.Mutex
+	endpoints  map[string]*endpointState
+	evacuated  map[string]bool      // data centres that are out of service
+	peers      map[string]peerLoad  // by peer name
+	peerTotals map[Key]Load         // sum of the peers' loads, kept because every placement needs it
+	waiting    []*waiter            // in the order of placement, as last sorted
+	arrivals   uint64               // number of calls queued so far
+	departed   map[string]departure // endpoints that have left, by ID
+	words      *avail.Ledger        // what endpoints have said of themselves
+	holdUntil  time.Time            // of the newest epoch of the registry, see BeginEpoch
 }
 
 type endpointState struct {
@@ -96,7 +97,19 @@
 	suspectUntil    time.Time   // used until then only if there is no alternative
 	failureRate     float64     // moving average of failed calls, 0 to 1
 	missedAt        time.Time   // when a call would have been placed on it with a permit
-	closedUntil     time.Time   // it wants no calls until then
+}
+
+// newState returns the state of an endpoint that the registry lists from now on.
+func (s *Scheduler) newState(ep endpt.Endpoint) *endpointState {
+	e := &endpointState{endpoint: ep, key: KeyOf(ep.ID), leaving: make(chan struct{})}
+	if s.words.IsLeaving(incarnationOf(ep)) {
+		e.markLeaving(RevisionUntilRestart)
+	}
+	return e
+}
+
+func incarnationOf(ep endpt.Endpoint) avail.Incarnation {
+	return avail.Incarnation{ID: ep.ID, StartedMs: ep.StartedMs}
 }
 
 // peerLoad is a peer's last load report.
@@ -110,7 +123,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Int64
 	}
-	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, departed: map[string]departure{}}
+	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, departed: map[string]departure{}, words: avail.New()}
 }
 
 // Request describes what a call requires of its endpoint.
--- /dev/null
+++ b/internal/router/sched/words_test.go
@@ -0,0 +1,107 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
+)
+
+// entryHistories are what may become of an endpoint's registry entry while the endpoint runs.
+var entryHistories = map[string]func(s *Scheduler, now time.Time, e endpt.Endpoint){
+	"stays":     func(*Scheduler, time.Time, endpt.Endpoint) {},
+	"rewritten": func(s *Scheduler, now time.Time, e endpt.Endpoint) { s.Put(now, e) },
+	"lapsed and back": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		s.Remove(now, e.ID, time.Time{})
+		s.Put(now, e)
+	},
+	"lapsed with grace and back": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		s.Remove(now, e.ID, now.Add(time.Second))
+		s.Put(now, e)
+	},
+	"draining and ready": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		draining := e
+		draining.Draining = true
+		s.Put(now, draining)
+		e.Revision++
+		s.Put(now, e)
+	},
+	"lost in an older copy and written again": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		s.BeginEpoch(now, time.Second)
+		s.Remove(now, e.ID, now.Add(time.Second))
+		s.ExpireGrace(now.Add(2 * time.Second))
+		s.Put(now.Add(2*time.Second), e)
+		s.ExpireGrace(now.Add(2 * time.Second))
+	},
+	"gone, in an older copy and held": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		s.Remove(now, e.ID, time.Time{})
+		s.BeginEpoch(now, time.Second)
+		s.Put(now, e)
+		s.ExpireGrace(now.Add(2 * time.Second))
+	},
+	"at another address": func(s *Scheduler, now time.Time, e endpt.Endpoint) {
+		e.Address = "elsewhere:1"
+		s.Put(now, e)
+	},
+}
+
+// What an endpoint has said holds whatever becomes of its entry, also if the word arrived
+// before the entry, and ends with a new start.
+func TestWordsOutliveEntries(t *testing.T) {
+	words := map[string]func(s *Scheduler, now time.Time, e endpt.Endpoint){
+		"leaving": func(s *Scheduler, now time.Time, e endpt.Endpoint) { s.HearLeaving(now, e) },
+		"closed":  func(s *Scheduler, now time.Time, e endpt.Endpoint) { s.Close(now, e, now.Add(time.Minute)) },
+	}
+	for word, say := range words {
+		for history, play := range entryHistories {
+			for _, early := range []bool{false, true} {
+				t.Run(word+", "+history+map[bool]string{true: ", heard before the entry"}[early], func(t *testing.T) {
+					s, now := newScheduler(1), time.Now()
+					e := engine("e", "a1")
+					e.Revision = 5
+					if early {
+						say(s, now, e)
+					}
+					s.Put(now, e)
+					if !early {
+						say(s, now, e)
+					}
+					play(s, now, e)
+					later := now.Add(5 * time.Second)
+					if _, placed := s.TryPlace(later, request(1)); placed {
+						t.Error("a call was placed")
+					}
+					e.StartedMs++
+					s.Put(later, e)
+					if _, placed := s.TryPlace(later, request(1)); !placed {
+						t.Error("no call was placed on an endpoint that started anew")
+					}
+				})
+			}
+		}
+	}
+}
+
+// A peer must hear that an endpoint leaves also if this process does not know the endpoint
+// or has it as draining by the registry, and hears it once.
+func TestLeavingIsNewsOnce(t *testing.T) {
+	for name, prepare := range map[string]func(s *Scheduler, e endpt.Endpoint){
+		"unknown": func(*Scheduler, endpt.Endpoint) {},
+		"listed":  func(s *Scheduler, e endpt.Endpoint) { s.Put(time.Now(), e) },
+		"draining": func(s *Scheduler, e endpt.Endpoint) {
+			e.Draining = true
+			s.Put(time.Now(), e)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, e := newScheduler(1), engine("e", "a1")
+			prepare(s, e)
+			for i, want := range []ChangeKind{ChangeLeaving, ChangeNone} {
+				c := s.HearLeaving(time.Now(), e)
+				if c.Kind != want || want == ChangeLeaving && (c.Endpoint.ID != e.ID || c.Endpoint.StartedMs != e.StartedMs || c.Endpoint.Revision != RevisionUntilRestart) {
+					t.Errorf("word %d: change %+v, want kind %v", i, c, want)
+				}
+			}
+		})
+	}
+}
