The state of an endpoint outlives its registry entry

What was seen: after the entry of an endpoint had lapsed and come back, or had been written as draining and then as ready, a process took the endpoint for idle, sure and warm: its calls there were in no load report, as many again were placed, a cold endpoint got its calls of a second twice, and a generation was moved off an endpoint that had come back. Change: the scheduler keeps the state of a start for a minute after its entry, and uses it again if the entry returns. The list of departures, kept beside it for that minute, is part of the state. Leases see when an endpoint returns. Changed test: TestDeparturesExpire counts the states that are kept, where it counted departures; same bound.

--- a/internal/router/peers/epoch_test.go
+++ b/internal/router/peers/epoch_test.go
@@ -114,3 +114,23 @@
 		})
 	}
 }
+
+// A process that hears of a leaving endpoint before it reads the endpoint's entry must not use
+// it then, nor keep the word to itself.
+func TestLeavingEndpointThatNobodyListsYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		f.rounds(t, 2*time.Second)
+		e := endpt.Endpoint{ID: "unlisted", StartedMs: 1, Service: "other", Slots: 4, Revision: 7}
+		change := f.schedulers["a"].HearLeaving(time.Now(), e)
+		f.groups["a"].ReportLeaving(time.Now(), change.Endpoint)
+		f.groups["a"].ReportLeaving(time.Now(), e) // the registry lists it as draining too
+		f.rounds(t, time.Second)
+		for address, s := range f.schedulers {
+			s.Put(time.Now(), e)
+			if got := s.Usable(time.Now(), sched.Request{Service: "other"}); got != 0 {
+				t.Errorf("%s uses an endpoint that has said that it leaves", address)
+			}
+		}
+	})
+}
--- a/internal/router/sched/epoch.go
+++ b/internal/router/sched/epoch.go
@@ -4,18 +4,11 @@
 	"maps"
 	"math"
 	"time"
-
-	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 )
 
-// departure is an endpoint that the registry has ceased to list.
-type departure struct {
-	startedMs int64
-	at        time.Time
-}
-
-// departureTTL is longer than a registry can lose when it comes back from an older copy.
-const departureTTL = time.Minute
+// removedTTL is how long the state of an endpoint is kept that the registry has ceased to
+// list. It is longer than a registry can lose when it comes back from an older copy.
+const removedTTL = time.Minute
 
 // heldRevision is the revision of a leaving endpoint that the registry may list as ready
 // only because it came back older. No registration has a later one.
@@ -37,10 +30,12 @@
 	}
 }
 
-// recordDeparture remembers an endpoint that the registry has ceased to list.
-func (s *Scheduler) recordDeparture(now time.Time, e endpt.Endpoint) {
-	maps.DeleteFunc(s.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departureTTL })
-	s.departed[e.ID] = departure{e.StartedMs, now}
+// forgetRemoved drops the states of endpoints that the registry has not listed for long, if no
+// calls run there.
+func (s *Scheduler) forgetRemoved(now time.Time) {
+	maps.DeleteFunc(s.endpoints, func(_ string, e *endpointState) bool {
+		return e.removed && e.local == (Load{}) && now.Sub(e.removedAt) > removedTTL
+	})
 }
 
 // hold keeps an endpoint leaving until a time.
@@ -51,14 +46,13 @@
 
 // hasDeparted reports whether the registry lists an endpoint that had left before it came
 // back from an older copy.
-func (s *Scheduler) hasDeparted(now time.Time, ep endpt.Endpoint) bool {
-	d, found := s.departed[ep.ID]
-	return found && d.startedMs == ep.StartedMs && now.Sub(d.at) <= departureTTL && now.Before(s.holdUntil)
+func (s *Scheduler) hasDeparted(now time.Time, e *endpointState) bool {
+	return !e.departedAt.IsZero() && now.Sub(e.departedAt) <= removedTTL && now.Before(s.holdUntil)
 }
 
 // endHolds makes the endpoints usable that the registry still lists as ready.
 func (s *Scheduler) endHolds(now time.Time) (changes []Change) {
-	for id, e := range s.endpoints {
+	for _, e := range s.endpoints {
 		if e.heldUntil.IsZero() || now.Before(e.heldUntil) {
 			continue
 		}
@@ -67,9 +61,7 @@
 			e.leavingRevision = e.endpoint.Revision
 			continue
 		}
-		delete(s.departed, id)
-		s.endpoints[id] = s.newState(e.endpoint)
-		changes = append(changes, Change{e.endpoint, ChangeAdded})
+		changes = append(changes, s.list(now, e))
 	}
 	return changes
 }
--- a/internal/router/sched/epoch_test.go
+++ b/internal/router/sched/epoch_test.go
@@ -18,7 +18,7 @@
 		s.Remove(now, id, time.Time{})
 		now = now.Add(time.Second)
 	}
-	if count := len(s.departed); count > 61 {
+	if count := len(s.endpoints); count > 61 {
 		t.Errorf("%d departures are kept, want those of the last minute", count)
 	}
 }
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -52,23 +52,15 @@
 	if known && ep.StartedMs < e.endpoint.StartedMs {
 		return Change{Endpoint: ep} // late event of an earlier incarnation
 	}
-	if !known || e.removed || !e.endpoint.SameIncarnation(ep) || e.relisted(ep) {
-		if known {
-			e.markLeaving(ep.Revision)
-		}
-		e = s.newState(ep)
-		s.endpoints[ep.ID] = e
-		switch {
-		case e.isLeaving:
-			return Change{ep, ChangeLeaving}
-		case ep.Draining:
-			e.markLeaving(ep.Revision)
-			return Change{ep, ChangeLeaving}
-		case s.hasDeparted(now, ep):
-			e.hold(s.holdUntil)
-			return Change{ep, ChangeLeaving}
-		}
-		return Change{ep, ChangeAdded}
+	switch {
+	case !known:
+		return s.list(now, newState(ep))
+	case !e.endpoint.SameIncarnation(ep):
+		e.markLeaving(ep.Revision)
+		return s.list(now, newState(ep))
+	case e.removed || e.relisted(ep):
+		e.endpoint = ep
+		return s.list(now, e)
 	}
 	e.endpoint = ep
 	switch {
@@ -82,6 +74,30 @@
 	return Change{Endpoint: ep}
 }
 
+// list makes an endpoint usable that the registry lists from now on, or again, unless there is
+// a reason against it.
+func (s *Scheduler) list(now time.Time, e *endpointState) Change {
+	ep := e.endpoint
+	s.endpoints[ep.ID] = e
+	departed := s.hasDeparted(now, e)
+	if e.isLeaving {
+		e.isLeaving, e.leaving = false, make(chan struct{})
+	}
+	e.removed, e.heldUntil, e.graceUntil = false, time.Time{}, time.Time{}
+	switch {
+	case s.words.IsLeaving(incarnationOf(ep)):
+		e.markLeaving(RevisionUntilRestart)
+	case ep.Draining:
+		e.markLeaving(ep.Revision)
+	case departed:
+		e.hold(s.holdUntil)
+	default:
+		e.departedAt = time.Time{}
+		return Change{ep, ChangeAdded}
+	}
+	return Change{ep, ChangeLeaving}
+}
+
 // markLeaving stops new work for the endpoint, as reported at a registry revision.
 // Only a later registration that is not draining makes it usable again; see relisted.
 func (e *endpointState) markLeaving(revision uint64) {
@@ -158,7 +174,7 @@
 func (s *Scheduler) remove(now time.Time, id string, grace time.Time) Change {
 	e, known := s.endpoints[id]
 	switch {
-	case !known:
+	case !known, e.removed:
 		return Change{}
 	case now.Before(grace) && !e.isLeaving:
 		if !e.graceUntil.IsZero() {
@@ -169,13 +185,11 @@
 	}
 	wasLeaving := e.isLeaving
 	if e.graceUntil.IsZero() {
-		s.recordDeparture(now, e.endpoint)
+		e.departedAt = now
 	}
 	e.markLeaving(e.endpoint.Revision)
-	e.removed = true
-	if e.local == (Load{}) {
-		delete(s.endpoints, id)
-	}
+	e.removed, e.removedAt = true, now
+	s.forgetRemoved(now)
 	if wasLeaving {
 		return Change{}
 	}
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -72,14 +72,13 @@
 	cfg        Config
 	mu         sync.Mutex
 	endpoints  map[string]*endpointState
-	evacuated  map[string]bool      // data centres that are out of service
-	peers      map[string]peerLoad  // by peer name
-	peerTotals map[Key]Load         // sum of the peers' loads, kept because every placement needs it
-	waiting    []*waiter            // in the order of placement, as last sorted
-	arrivals   uint64               // number of calls queued so far
-	departed   map[string]departure // endpoints that have left, by ID
-	words      *avail.Ledger        // what endpoints have said of themselves
-	holdUntil  time.Time            // of the newest epoch of the registry, see BeginEpoch
+	evacuated  map[string]bool     // data centres that are out of service
+	peers      map[string]peerLoad // by peer name
+	peerTotals map[Key]Load        // sum of the peers' loads, kept because every placement needs it
+	waiting    []*waiter           // in the order of placement, as last sorted
+	arrivals   uint64              // number of calls queued so far
+	words      *avail.Ledger       // what endpoints have said of themselves
+	holdUntil  time.Time           // of the newest epoch of the registry, see BeginEpoch
 }
 
 type endpointState struct {
@@ -88,10 +87,12 @@
 	local           Load          // placed by this process
 	leaving         chan struct{} // closed when isLeaving is set
 	isLeaving       bool
-	leavingRevision uint64    // registry revision that reported it as leaving
-	heldUntil       time.Time // leaving until then though the registry may list it as ready, see BeginEpoch
-	graceUntil      time.Time // not listed by the registry but usable until then; zero if listed
-	removed         bool
+	leavingRevision uint64      // registry revision that reported it as leaving
+	heldUntil       time.Time   // leaving until then though the registry may list it as ready, see BeginEpoch
+	graceUntil      time.Time   // not listed by the registry but usable until then; zero if listed
+	removed         bool        // the registry does not list it
+	removedAt       time.Time   // when it ceased to, if removed
+	departedAt      time.Time   // the same, zero if it was listed again or its entry expired during a registry outage
 	recentSends     []time.Time // send times; those older than coldWindow are dropped with the next send
 	failures        int         // consecutive failures to reach it
 	suspectUntil    time.Time   // used until then only if there is no alternative
@@ -99,13 +100,8 @@
 	missedAt        time.Time   // when a call would have been placed on it with a permit
 }
 
-// newState returns the state of an endpoint that the registry lists from now on.
-func (s *Scheduler) newState(ep endpt.Endpoint) *endpointState {
-	e := &endpointState{endpoint: ep, key: KeyOf(ep.ID), leaving: make(chan struct{})}
-	if s.words.IsLeaving(incarnationOf(ep)) {
-		e.markLeaving(RevisionUntilRestart)
-	}
-	return e
+func newState(ep endpt.Endpoint) *endpointState {
+	return &endpointState{endpoint: ep, key: KeyOf(ep.ID), leaving: make(chan struct{})}
 }
 
 func incarnationOf(ep endpt.Endpoint) avail.Incarnation {
@@ -123,7 +119,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Int64
 	}
-	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, departed: map[string]departure{}, words: avail.New()}
+	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, words: avail.New()}
 }
 
 // Request describes what a call requires of its endpoint.
@@ -171,8 +167,12 @@
 )
 
 // Leaving returns a channel that is closed when the endpoint is leaving: no new
-// work is placed on it.
-func (l *Lease) Leaving() <-chan struct{} { return l.state.leaving }
+// work is placed on it. If the endpoint returns, there is another channel.
+func (l *Lease) Leaving() <-chan struct{} {
+	l.scheduler.mu.Lock()
+	defer l.scheduler.mu.Unlock()
+	return l.state.leaving
+}
 
 // Release subtracts the call from the endpoint's load and records the outcome.
 // Further calls have no effect.
@@ -196,9 +196,6 @@
 	e := l.state
 	e.local = e.local.minus(l.load)
 	e.recordOutcome(now, outcome)
-	if e.removed && e.local == (Load{}) && s.endpoints[l.Endpoint.ID] == e {
-		delete(s.endpoints, l.Endpoint.ID)
-	}
 	s.placeWaiting(now)
 }
 
--- a/internal/router/sched/words_test.go
+++ b/internal/router/sched/words_test.go
@@ -105,3 +105,83 @@
 		})
 	}
 }
+
+// A process that keeps an endpoint's load with its entry takes the endpoint for idle, sure and
+// warm when the entry comes back, though its calls still run there.
+func TestLoadOutlivesEntries(t *testing.T) {
+	for history, play := range entryHistories {
+		if history == "at another address" {
+			continue // where nothing of it runs
+		}
+		t.Run(history, func(t *testing.T) {
+			s, now := newScheduler(1), time.Now()
+			e := engine("e", "a1")
+			e.Revision = 5
+			s.Put(now, e)
+			var leases []*Lease
+			for range e.Slots {
+				leases = append(leases, expectPlaced(t, s, request(100), "e"))
+			}
+			before := s.Loads()
+			play(s, now, e)
+			if after := s.Loads(); after[KeyOf("e")] != before[KeyOf("e")] {
+				t.Errorf("load %+v, want %+v", after, before)
+			}
+			expectPlaced(t, s, request(100), "")
+			leases[0].Release(now, OutcomeUnreachable)
+			play(s, now, e)
+			other := engine("f", "b1")
+			s.Put(now, other)
+			expectPlaced(t, s, request(100), "f") // e has room, but is suspect
+			for _, l := range leases[1:] {
+				l.Release(now, OutcomeNone)
+			}
+			if got := s.Loads()[KeyOf("e")]; got != (Load{}) {
+				t.Errorf("load %+v after all calls ended, want none", got)
+			}
+		})
+	}
+}
+
+// A cold endpoint must not get its calls of a second twice because its entry came back.
+func TestColdLimitOutlivesEntries(t *testing.T) {
+	for history, play := range entryHistories {
+		if history == "at another address" {
+			continue // another process
+		}
+		t.Run(history, func(t *testing.T) {
+			s, now := newScheduler(1), time.Now()
+			e := engine("e", "a1")
+			e.Revision = 5
+			s.Put(now, e)
+			cold := request(1)
+			cold.MaxColdCallsPerSecond = 2
+			for range 2 {
+				expectPlaced(t, s, cold, "e").Release(now, OutcomeSuccess)
+			}
+			play(s, now, e)
+			expectPlaced(t, s, cold, "")
+		})
+	}
+}
+
+// A stream must not be moved off an endpoint whose entry has come back.
+func TestEntryThatComesBackEndsLeaving(t *testing.T) {
+	s, now := newScheduler(1), time.Now()
+	e := engine("e", "a1")
+	s.Put(now, e)
+	l := expectPlaced(t, s, request(1), "e")
+	left := l.Leaving()
+	s.Remove(now, "e", time.Time{})
+	s.Put(now, e)
+	select {
+	case <-left:
+	default:
+		t.Error("the lease was not told that the entry was removed")
+	}
+	select {
+	case <-l.Leaving():
+		t.Error("the endpoint is leaving though its entry came back")
+	default:
+	}
+}
