A stream that has begun is continued only by an event stream

What callers saw: when a stream had begun and its worker broke off, the next worker's error came in the middle of it, or ended it as if it were complete. Cause: any valid response below 500 was taken for a source of the stream, whether it was to begin it or to continue one that another endpoint had begun. Change: classifyStream decides, in one place for first sends, resumes and resumes from a copy. What continues a stream has status 200 and the type text/event-stream, or no type. Any other valid response is "unfit": its body is not read, it counts as a failure of the endpoint, which was sent a call that another one had accepted, and a resumable stream may try the next endpoint within its attempts and the retry budget. Ruled out: 500, 503 with Not-Executed and responses that are not verified were not taken for a continuation before.

--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -33,6 +33,8 @@
 	unframed    bool
 	unsent      bool // nothing is sent before the context ends
 	err         error
+	contentType string
+	text        string // sent before the events
 	wait        time.Duration
 	firstID     int // ID of the first event
 	events      int // number of events of a stream
@@ -93,8 +95,12 @@
 	if !rep.notExecuted && !rep.misdirected {
 		u.runs++
 	}
+	header := http.Header{}
+	if rep.contentType != "" {
+		header.Set("Content-Type", rep.contentType)
+	}
 	return &Response{
-		Status: rep.status, Header: http.Header{}, NotExecuted: rep.notExecuted || rep.misdirected, Misdirected: rep.misdirected, Verified: !rep.unverified, Unframed: rep.unframed,
+		Status: rep.status, Header: header, NotExecuted: rep.notExecuted || rep.misdirected, Misdirected: rep.misdirected, Verified: !rep.unverified, Unframed: rep.unframed,
 		Body: u.body(ctx, rep),
 	}, nil
 }
@@ -174,6 +180,7 @@
 	stopped := make(chan struct{})
 	u.stop = sync.OnceFunc(func() { close(stopped) })
 	go func() {
+		_, _ = io.WriteString(w, rep.text)
 		for i := rep.firstID; i < rep.firstID+rep.events; i++ {
 			select {
 			case <-time.After(rep.gap):
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -30,7 +30,7 @@
 	c.opPending = true
 	c.sends++
 	tried := append([]string(nil), c.tried...)
-	after := c.lastID
+	after, begun := c.lastID, c.begun
 	timeout := c.responseStartTimeout()
 	placed := make(chan string, 1)
 	go func() {
@@ -41,7 +41,7 @@
 			return
 		}
 		placed <- lease.Endpoint.ID
-		src, a := c.s.open(ctx, lease, c.sendRequest(after, nil), timeout)
+		src, a := c.s.open(ctx, lease, c.sendRequest(after, nil), begun, timeout)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
 	if id, ok := <-placed; ok {
@@ -106,7 +106,7 @@
 			c.reports <- opReport{failReason: ReasonPromptBlocked}
 			return
 		}
-		src, a := c.s.open(ctx, target, c.sendRequest(after, &cache), 0)
+		src, a := c.s.open(ctx, target, c.sendRequest(after, &cache), true, 0)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
 }
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -29,16 +29,16 @@
 }
 
 // open sends the request and returns the response as a source, nil if the attempt
-// failed. The request is cancelled if the response has not begun within the timeout,
+// failed. begun means that it is to continue a response. The request is cancelled if the response has not begun within the timeout,
 // 0 for no limit.
-func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, timeout time.Duration) (*source, attempt) {
+func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, begun bool, timeout time.Duration) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
 	if timeout > 0 {
 		defer time.AfterFunc(timeout, cancel).Stop()
 	}
 	a := attempt{lease: lease}
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
-	a.verdict = classify(a.response, a.err)
+	a.verdict = classifyStream(a.response, a.err, begun)
 	if a.verdict != verdictGood {
 		s.readFailureBody(ctx, &a)
 		cancel()
@@ -56,6 +56,10 @@
 	if a.response == nil {
 		return
 	}
+	if a.verdict == verdictUnfit { // nobody gets it, and the stream waits
+		a.response.Body.Close(false)
+		return
+	}
 	var err error
 	a.body, err = s.readBody(a.response.Body)
 	if err != nil && a.verdict == verdictFailed && ctx.Err() == nil {
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -338,6 +338,8 @@
 		if !c.begun {
 			c.state = c.state.WithOffer().WithLost()
 		}
+	case verdictUnfit:
+		c.reason = ReasonLost
 	case verdictGood:
 	}
 }
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -41,9 +41,10 @@
 	verdictFailed                // a complete response with a 5xx status
 	verdictNotRun                // the call did not run and will not run
 	verdictLost                  // no valid response; the call may have run
+	verdictUnfit                 // a valid response that cannot continue the stream
 )
 
-func (v verdict) String() string { return [...]string{"good", "failed", "never", "lost"}[v] }
+func (v verdict) String() string { return [...]string{"good", "failed", "never", "lost", "unfit"}[v] }
 
 // unaryCall is the state of a call whose response is buffered and passed on when it
 // is complete.
@@ -295,7 +296,7 @@
 		return sched.OutcomeReplaced
 	case a.notReached():
 		return sched.OutcomeUnreachable
-	case a.verdict == verdictLost || a.verdict == verdictFailed:
+	case a.verdict == verdictLost || a.verdict == verdictFailed || a.verdict == verdictUnfit:
 		return sched.OutcomeFailed
 	case a.verdict == verdictNotRun:
 		return sched.OutcomeNone
