A connection carries a call's ID once, so that a repeated refusal is no answer

What callers saw: 503 "the call did not run" for calls that must not run twice and that had run; such a call may also be sent on to another worker, since a refused call is free to run there. Cause: the client knows a response by the attempt's ID, and a call may come to one address twice under the same ID: at an address that changed hands while the registry lists both workers (421, then the call for the new one), in a move of a stream to a worker that refused it before, or if callers share an ID. On a kept connection the copy of the earlier refusal was then taken for the answer. The pool prefers another idle connection and dials only if there is none; calls with IDs of their own find the same connection as before. Connections remember hashes of their keys and are closed after 1,024 of them. Why it works: a copy comes on the connection of its original, so what it could be mistaken for does not. Ruled out: a new connection for each call that an endpoint refused, asked for by the router, which misses the address that changed hands and callers that share an ID.

--- a/internal/call/httpc/client.go
+++ b/internal/call/httpc/client.go
@@ -10,10 +10,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +38,7 @@
 	maxStaleResponses     = 4        // responses to other requests that one exchange may skip
 	maxStaleResponseBytes = 1 << 20  // of the body of a response to another request; after a longer one the connection is closed
 	maxHeadBytes          = 64 << 10 // of a response, including what was read ahead of its body
+	maxKeys               = 1024     // of the requests on one connection, which is closed after them
 )
 
 // Config holds the timeouts of a Pool.
@@ -50,12 +53,15 @@
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	cfg  Config
+	seed maphash.Seed // of conn.keys
 	mu   sync.Mutex
 	idle map[string][]*conn // most recently used last
 }
 
 // New returns an empty pool.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, seed: maphash.MakeSeed(), idle: map[string][]*conn{}}
+}
 
 // Request is one request, completely in memory.
 type Request struct {
@@ -68,6 +74,11 @@
 	// and not to an earlier one on the same connection. nil accepts every
 	// response.
 	Matches func(http.Header) bool
+	// Key is shared by requests whose responses Matches does not tell apart.
+	Key string
+	// Exclusive excludes connections that have carried a request with the same key, since
+	// the endpoint may repeat its response to that one.
+	Exclusive bool
 	// NewConn requests a new connection instead of an idle one.
 	NewConn bool
 }
@@ -96,6 +107,7 @@
 	reader     *bufio.Reader // of headReader
 	head       *headReader
 	reuseUntil time.Time
+	keys       []uint64 // hashes of the keys of the requests that it has carried
 }
 
 // headReader reads from a connection, and bounds what is read while a response's head
@@ -127,7 +139,8 @@
 // Do sends a request and waits for the response header. The connection is
 // closed when the context ends.
 func (p *Pool) Do(ctx context.Context, addr string, req Request) (*Response, error) {
-	c, dialed, err := p.acquire(ctx, addr, req.NewConn)
+	key := maphash.String(p.seed, req.Key)
+	c, dialed, err := p.acquire(ctx, addr, req, key)
 	if err != nil {
 		return nil, newError("dial", KindUnsent, err)
 	}
@@ -135,6 +148,9 @@
 		_ = c.Close()
 		return nil, newError("send", KindUnsent, context.Cause(ctx))
 	}
+	if !slices.Contains(c.keys, key) {
+		c.keys = append(c.keys, key)
+	}
 	r := &Response{conn: c, pool: p, Dialed: dialed, writeDone: make(chan error, 1)}
 	r.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.exchange(req); err != nil {
@@ -147,11 +163,11 @@
 	return r, nil
 }
 
-// acquire returns an idle connection that is still open and has no unread data,
-// or a new one.
-func (p *Pool) acquire(ctx context.Context, addr string, newConn bool) (c *conn, dialed bool, err error) {
-	for !newConn {
-		c := p.popIdle(addr)
+// acquire returns an idle connection that suits the request, is still open and has no
+// unread data, or a new one. key is the hash of the request's key.
+func (p *Pool) acquire(ctx context.Context, addr string, req Request, key uint64) (c *conn, dialed bool, err error) {
+	for !req.NewConn {
+		c := p.popIdle(addr, func(c *conn) bool { return !req.Exclusive || !slices.Contains(c.keys, key) })
 		if c == nil {
 			break
 		}
@@ -186,22 +202,25 @@
 	})
 }
 
-func (p *Pool) popIdle(addr string) *conn {
+// popIdle removes the most recently used of the idle connections that suit and returns it,
+// nil if there is none.
+func (p *Pool) popIdle(addr string, suits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if suits(c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= maxIdlePerAddress {
+	if len(p.idle[c.addr]) >= maxIdlePerAddress || len(c.keys) >= maxKeys {
 		_ = c.Close()
 		return
 	}
--- a/internal/call/httpc/client_test.go
+++ b/internal/call/httpc/client_test.go
@@ -254,3 +254,64 @@
 		t.Fatalf("after CloseExpired: %v, want a new connection", err)
 	}
 }
+
+// Guards against responses to an earlier request that are taken for those to a later one with
+// the same key, and against connections that are given up without need.
+func TestExclusiveRequestsAvoidConnectionsOfTheirKey(t *testing.T) {
+	addr := serveRaw(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for readRequest(in) != "" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=10\r\n\r\n")
+		}
+	})
+	p := newPool()
+	for i, test := range []struct {
+		key       string
+		exclusive bool
+		dialed    bool
+	}{
+		{"a", true, true},
+		{"b", true, false},
+		{"a", false, false},
+		{"", false, false},
+		{"a", true, true},
+		{"c", true, false},
+		{"", true, false},
+		{"b", true, false},
+		{"a", true, true},
+		{"a", true, true},
+		{"d", true, false},
+	} {
+		r, err := p.Do(context.Background(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h", Key: test.key, Exclusive: test.exclusive})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Dialed != test.dialed {
+			t.Errorf("request %d, key %q, exclusive %v: new connection %v, want %v", i, test.key, test.exclusive, r.Dialed, test.dialed)
+		}
+		r.Close(true)
+	}
+}
+
+// A connection does not remember more than maxKeys keys.
+func TestConnectionClosesAfterManyKeys(t *testing.T) {
+	addr := serveRaw(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for readRequest(in) != "" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=10\r\n\r\n")
+		}
+	})
+	p := newPool()
+	dials := 0
+	for i := range 2*maxKeys + 1 {
+		r, err := p.Do(context.Background(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h", Key: strconv.Itoa(i), Exclusive: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Dialed {
+			dials++
+		}
+		r.Close(true)
+	}
+	if dials != 3 {
+		t.Errorf("%d connections for %d requests, want 3", dials, 2*maxKeys+1)
+	}
+}
