Tests: responses that are cut at each byte, their heads too

A head without its blank line is an error at each byte (textproto reports the end of the input there), callers get 502 or a broken stream, and a move whose response is cut is neither refused nor "not running".

--- a/internal/call/httpc/client_test.go
+++ b/internal/call/httpc/client_test.go
@@ -315,3 +315,62 @@
 		t.Errorf("%d connections for %d requests, want 3", dials, 2*maxKeys+1)
 	}
 }
+
+// Guards against responses that were cut, at whatever byte, and look whole.
+func TestCutResponses(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+	const stale = "HTTP/1.1 503 Busy\r\nId: z\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+	for _, test := range []struct {
+		name, before, status, framing, body string
+		unframed                            bool
+	}{
+		{"length", "", "200 OK", "Content-Length: 5\r\n", "hello", false},
+		{"chunks", "", "200 OK", "Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", false},
+		{"chunks with a trailer", "", "200 OK", "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n", "5\r\nhello\r\n0\r\nSum: 1\r\n\r\n", false},
+		{"no framing", "", "200 OK", "", "hello", true},
+		{"failure", "", "404 None", "Content-Length: 5\r\n", "hello", false},
+		{"failure without framing", "", "404 None", "", "hello", true},
+		{"refusal", "", "503 Busy", "Not-Executed: 1\r\nContent-Length: 5\r\n", "hello", false},
+		{"refusal without framing", "", "503 Busy", "Not-Executed: 1\r\n", "hello", true},
+		{"without a body", "", "204 None", "", "", false},
+		{"length 0", "", "503 Busy", "Content-Length: 0\r\n", "", false},
+		{"folded header", "", "200 OK", "Content-Length: 5\r\nX: a\r\n b\r\n", "hello", false},
+		{"after an interim response", interim, "200 OK", "Content-Length: 5\r\n", "hello", false},
+		{"after a response to another request", stale, "200 OK", "Content-Length: 5\r\n", "hello", false},
+	} {
+		head := test.before + "HTTP/1.1 " + test.status + "\r\nId: a\r\n" + test.framing + "\r\n"
+		raw := head + test.body
+		for _, reset := range []bool{false, true} {
+			t.Run(test.name+" reset "+strconv.FormatBool(reset), func(t *testing.T) {
+				t.Parallel()
+				addr := serveRaw(t, func(n int, c net.Conn, in *bufio.Reader) {
+					readRequest(in)
+					_, _ = io.WriteString(c, raw[:n])
+					if reset {
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				p := newPool()
+				for n := range len(raw) + 1 {
+					r, err := p.Do(context.Background(), addr, Request{
+						Method: http.MethodGet, Target: "/", Host: "h", NewConn: true, Matches: func(h http.Header) bool { return h.Get("Id") == "a" },
+					})
+					var body []byte
+					if err == nil {
+						body, err = r.ReadAll(100)
+					}
+					whole := n == len(raw) || test.unframed && !reset && n >= len(head)
+					if err == nil && !whole {
+						t.Errorf("cut after %d of %d bytes: complete, %d %q", n, len(raw), r.Status, body)
+					}
+					if err != nil && whole && !reset {
+						t.Errorf("whole after %d of %d bytes: %v", n, len(raw), err)
+					}
+					if r != nil && (n < len(head) || r.Unframed != test.unframed) {
+						t.Errorf("cut after %d bytes, the head has %d: response %d, unframed %v, want %v", n, len(head), r.Status, r.Unframed, test.unframed)
+					}
+				}
+			})
+		}
+	}
+}
