--- a/internal/stand/engsrv/http.go
+++ b/internal/stand/engsrv/http.go
@@ -54,6 +54,9 @@
 }
 
 func (s *Server) serveCompletion(ctx *fasthttp.RequestCtx, chat bool) {
+	if s.refuseIfBusy(ctx) {
+		return
+	}
 	var req completionRequest
 	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
 		fail(ctx, 400, "invalid_request_error", err.Error())
@@ -249,6 +252,7 @@
 		fail(ctx, 404, "not_found", "no such stream")
 	case cancel:
 		ctx.SetStatusCode(204)
+	case s.refuseIfBusy(ctx):
 	case st.nonStreaming:
 		s.sendResponse(ctx, st)
 	default:
--- a/internal/stand/engsrv/server.go
+++ b/internal/stand/engsrv/server.go
@@ -57,6 +57,7 @@
 	down         bool // crashed and not listening
 	conns        map[net.Conn]struct{}
 	stalled      bool
+	busy         busy
 	closed       bool
 	boot         uint64 // random ID of this start of the engine
 	http         *fasthttp.Server
