An error must not become a stream when it is asked for again (known red 29)

What callers see: the response to a streaming call was an engine's error, 503 with a JSON body. GET /v1/streams/ID with the call's ID sends it again as text/event-stream, the error as an event and [DONE] behind it.

--- a/internal/tool/local/broken_stream_test.go
+++ b/internal/tool/local/broken_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -64,3 +65,21 @@
 		t.Errorf("status %d, %s, body %q; want 503 and the engine's error alone", resp.StatusCode, resp.Header.Get("Content-Type"), got)
 	}
 }
+
+// Guards against an engine's error that a caller gets as a complete stream when it asks for
+// the response again.
+func TestErrorIsNotResumedAsStream(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("known red, entry 29 of KNOWN-RED.txt")
+	}
+	r := start(t, local.Options{Entries: 1, Engines: 1})
+	r.Engines()[0].Engine.SetBusy(true, 0)
+	addr := "http://" + r.Entries()[0].CallerAddr + "/v1/"
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, local.ModelName, prompt(20))
+	resp, first := request(t, "POST", addr+"chat/completions", local.Key, body, nil)
+	again, second := request(t, "GET", addr+"streams/"+resp.Header.Get("Mimosalock-Call"), local.Key, "", nil)
+	if again.StatusCode != resp.StatusCode || again.Header.Get("Content-Type") != resp.Header.Get("Content-Type") || string(first) != string(second) {
+		t.Errorf("status %d, %s, body %q; want %d, %s, %q as at first", again.StatusCode, again.Header.Get("Content-Type"), second,
+			resp.StatusCode, resp.Header.Get("Content-Type"), first)
+	}
+}
