Test: the address that nothing listens at stays bound

Cause: the test took a free port, closed its listener and used the address. Another listener can get the port meanwhile. What the test checks is the same: a connection to the address is refused.

--- a/internal/agent/invoke/invoke_test.go
+++ b/internal/agent/invoke/invoke_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"net"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/mimosalock/mimosalock/internal/agent/buffer"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
@@ -50,12 +52,7 @@
 func endpointOf(t *testing.T, handler http.HandlerFunc) string {
 	t.Helper()
 	if handler == nil {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = ln.Close() }()
-		return ln.Addr().String()
+		return boundAddress(t)
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
@@ -68,6 +65,24 @@
 	return server.Listener.Addr().String()
 }
 
+// boundAddress returns an address that nothing listens at and that no other test gets.
+func boundAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	addr, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", addr.(*unix.SockaddrInet4).Port)
+}
+
 // closeAfter returns a handler that writes raw bytes and closes the connection.
 func closeAfter(raw string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
