--- a/internal/agent/invoke/invoke.go
+++ b/internal/agent/invoke/invoke.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -33,6 +34,7 @@
 	bodyFrameBytes    = 64 << 10
 	maxResponseBytes  = 32 << 20
 	doneEvent         = "[DONE]"
+	maxClosed         = time.Hour
 )
 
 // Job is one started call.
@@ -42,6 +44,7 @@
 	Buffer   *buffer.Buffer
 	Adopted  bool                                  // an earlier agent process started it in the engine
 	OnFrame  func(count uint64, gap time.Duration) // called after each frame of a stream
+	OnClosed func(wait time.Duration)              // called when the endpoint wants no calls for a while
 }
 
 // StreamID returns the identifier of an attempt in the engine. It contains a hash
@@ -65,14 +68,14 @@
 	}
 	err := errAdopted
 	if !j.Adopted {
-		if err = stream(ctx, j, modelRequest(j)); isUnsent(err) {
+		if err = stream(ctx, j, modelRequest(j), acceptAny); isUnsent(err) {
 			return unsentEnd(err)
 		}
 	}
 	broken := brokeAtStart(j, err)
 	for try := 0; err != nil && resumable(ctx, err) && try < maxResumeTries; try++ {
 		before := j.Buffer.Count()
-		err = stream(ctx, j, resumeRequest(j))
+		err = stream(ctx, j, resumeRequest(j), checkResumed)
 		if j.Buffer.Count() > before || errors.Is(err, os.ErrDeadlineExceeded) {
 			// The stream makes progress, or the engine holds it and is slow. The
 			// deadline of the call limits these retries.
@@ -89,12 +92,14 @@
 	errAdopted   = errors.New("the stream was started by a predecessor") // initial error of an adopted stream, so that it is resumed
 	errTruncated = errors.New("the engine ended the stream without its last event")
 	errNotHeld   = errors.New("the engine does not hold the stream")
+	errRefused   = errors.New("the engine refused to resume the stream")
+	errClosed    = errors.New("the engine wants no requests for a while")
 )
 
 // resumable reports whether a failed stream may be resumed: the engine may have
 // received the request and may still hold the stream.
 func resumable(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && !errors.Is(err, errNotHeld) && !isUnsent(err)
+	return ctx.Err() == nil && !errors.Is(err, errNotHeld) && !errors.Is(err, errClosed) && !isUnsent(err)
 }
 
 func isUnsent(err error) bool {
@@ -165,18 +170,63 @@
 	return req
 }
 
-// stream sends a request and appends the events of its response to the buffer. It
-// returns nil only if the response is complete.
-func stream(ctx context.Context, j Job, req *fasthttp.Request) error {
-	resp, err := origin.Do(ctx, j.Endpoint, req, engineReadTimeout)
+// send sends a request to the endpoint and passes on when it wants calls again.
+func send(ctx context.Context, j Job, req *fasthttp.Request, readTimeout time.Duration) (*origin.Response, error) {
+	resp, err := origin.Do(ctx, j.Endpoint, req, readTimeout)
+	if err == nil {
+		if wait := closedFor(resp); wait > 0 {
+			j.OnClosed(wait)
+		}
+	}
+	return resp, err
+}
+
+// closedFor returns for how long the endpoint wants no calls: a 503 may say so in
+// Retry-After, in seconds with fractions.
+func closedFor(resp *origin.Response) time.Duration {
+	if resp.Status() != fasthttp.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(resp.Header().Get(fasthttp.HeaderRetryAfter)), 64)
+	if err != nil || !(seconds > 0) { // absent, a date, or no time at all
+		return 0
+	}
+	return time.Duration(min(seconds, maxClosed.Seconds()) * float64(time.Second))
+}
+
+// acceptAny accepts every response, errors of the engine included.
+func acceptAny(Job, *origin.Response) error { return nil }
+
+// checkResumed returns an error unless the response to a resume request continues the
+// response of the call. An error of the engine answers only the resume request.
+func checkResumed(j Job, resp *origin.Response) error {
+	switch {
+	case resp.Status() == fasthttp.StatusNotFound:
+		return errNotHeld
+	case closedFor(resp) > 0:
+		return errClosed
+	case resp.Status() != fasthttp.StatusOK || (j.Offer.Stream && !isEventStream(resp)):
+		return fmt.Errorf("%w: status %d", errRefused, resp.Status())
+	}
+	return nil
+}
+
+func isEventStream(resp *origin.Response) bool {
+	return strings.HasPrefix(resp.Header().Get("Content-Type"), "text/event-stream")
+}
+
+// stream sends a request and, if check accepts the response, appends its events to the
+// buffer. It returns nil only if the response is complete.
+func stream(ctx context.Context, j Job, req *fasthttp.Request, check func(Job, *origin.Response) error) error {
+	resp, err := send(ctx, j, req, engineReadTimeout)
 	if err != nil {
 		return err
 	}
 	defer resp.Close()
-	if resp.Status() == fasthttp.StatusNotFound && string(req.Header.Method()) == fasthttp.MethodGet {
-		return errNotHeld
+	if err := check(j, resp); err != nil {
+		return err
 	}
-	if !strings.HasPrefix(string(resp.Header().ContentType()), "text/event-stream") {
+	if !isEventStream(resp) {
 		return storeBody(j, resp)
 	}
 	j.Buffer.SetHead(responseHead(resp))
@@ -211,16 +261,14 @@
 // runUnary runs a call whose response is one body. Nothing is relayed before the
 // body is complete, so after a failure the call may always run elsewhere.
 func runUnary(ctx context.Context, j Job) *peerpb.End {
-	req := modelRequest(j)
+	req, check := modelRequest(j), acceptAny
 	if j.Adopted {
-		req = resumeRequest(j)
+		req, check = resumeRequest(j), checkResumed
 	}
-	resp, err := origin.Do(ctx, j.Endpoint, req, deadline(j))
+	resp, err := send(ctx, j, req, deadline(j))
 	if err == nil {
 		defer resp.Close()
-		if j.Adopted && resp.Status() == fasthttp.StatusNotFound {
-			err = errNotHeld
-		} else {
+		if err = check(j, resp); err == nil {
 			err = storeBody(j, resp)
 		}
 	}
@@ -237,7 +285,7 @@
 // RunPlain runs a call on a plain service to its end. The request is sent at most
 // once.
 func RunPlain(ctx context.Context, j Job) *peerpb.End {
-	resp, err := origin.Do(ctx, j.Endpoint, offeredRequest(j), deadline(j))
+	resp, err := send(ctx, j, offeredRequest(j), deadline(j))
 	if err == nil {
 		defer resp.Close()
 		err = storeBody(j, resp)
@@ -275,9 +323,12 @@
 // the content length.
 func responseHead(resp *origin.Response) *peerpb.Head {
 	h := &peerpb.Head{Status: uint32(resp.Status())}
-	for name, value := range resp.Header().All() {
-		if !HopByHop(string(name)) && !strings.EqualFold(string(name), fasthttp.HeaderContentLength) {
-			h.Headers = append(h.Headers, &peerpb.Header{Name: string(name), Value: string(value)})
+	for name, values := range resp.Header() {
+		if HopByHop(name) || name == fasthttp.HeaderContentLength {
+			continue
+		}
+		for _, value := range values {
+			h.Headers = append(h.Headers, &peerpb.Header{Name: name, Value: value})
 		}
 	}
 	return h
