A stream is continued only by the events that follow those sent so far

What callers saw: when a stream had begun and its worker broke off, the text of an error, at times its whole head, came in the middle of it, events were missing or came twice, or the stream ended as if it were complete. Cause: the events of the next source were compared with those sent so far only if both had numeric IDs, and then only to drop known ones. The end of a source was taken for the end of the stream even if it had sent nothing. And an event without a numeric ID, also a comment, made the gateway forget the position, so that the next source started again from the first event. A source that continues a stream must begin with the event after the last one; events that the caller has are dropped and comments before are too. If it doesn't, or ends before, the stream is broken off there and, where it is resumable, resumed at the next endpoint within its attempts and the retry budget; the source counts as failed. A comment keeps the position. After an event without a numeric ID no source can go on, so that the stream is not resumed, moved, or given up for its silence. What a first source sends is passed on as before, also IDs that it skips itself. If the caller has resumed the stream itself, an event after a gap breaks it off. A stream that breaks off between its last event and its end is now interrupted, not complete, if the next source has nothing more to send: this cannot be told from an empty answer to an unfinished one.

--- a/internal/call/event/event.go
+++ b/internal/call/event/event.go
@@ -16,8 +16,9 @@
 
 // Event is one complete event, including the blank line that ends it.
 type Event struct {
-	ID  string // empty if the event carries none
-	Raw []byte // valid until the next call to Next
+	ID      string // empty if the event carries none
+	Raw     []byte // valid until the next call to Next
+	Comment bool   // it has no fields, so that it is no event
 }
 
 // ErrTooLarge is returned for an event larger than 1 MB.
@@ -42,7 +43,7 @@
 		if end := r.eventEnd(); end > 0 {
 			raw := r.buf[r.start : r.start+end]
 			r.start, r.scanned = r.start+end, 0
-			return Event{ID: eventID(raw), Raw: raw}, nil
+			return Event{ID: eventID(raw), Raw: raw, Comment: isComment(raw)}, nil
 		}
 		if r.err != nil {
 			return Event{}, r.endError()
@@ -106,3 +107,13 @@
 	}
 	return ""
 }
+
+// isComment reports whether all lines are comments or blank.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/call/event/event_test.go
+++ b/internal/call/event/event_test.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// Comments keep a connection alive and are no events.
+func TestComment(t *testing.T) {
+	for raw, want := range map[string]bool{
+		": wait\n\n": true, ":\r\n\r\n": true, "\n\n": true, ": a\n: b\n\n": true,
+		"data: a\n\n": false, ": a\ndata: b\n\n": false, "id: 1\n\n": false, "text\n\n": false,
+	} {
+		if e, err := New(strings.NewReader(raw)).Next(); err != nil || e.Comment != want || string(e.Raw) != raw {
+			t.Errorf("%q: event %+v, error %v, want comment %v", raw, e, err, want)
+		}
+	}
+}
+
 // expectEvents reads all events and checks that no byte was changed or lost.
 func expectEvents(t *testing.T, r *Reader, body string, ids []string, end error) {
 	t.Helper()
--- a/internal/router/serve/continue_test.go
+++ b/internal/router/serve/continue_test.go
@@ -1,13 +1,17 @@
 package serve
 
 import (
+	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/call/event"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
@@ -87,6 +91,146 @@
 	}
 }
 
+// Guards against events that do not follow those sent so far, or the end of a source that
+// has sent none, becoming part of a stream that another endpoint has begun.
+func TestStreamContinuedByOtherEvents(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer reply
+	}{
+		{"empty", reply{status: 200, contentType: "text/event-stream"}},
+		{"empty, without length or chunks", reply{status: 200, unframed: true}},
+		{"text", reply{status: 200, text: "no such thing\n"}},
+		{"text with a blank line", reply{status: 200, text: "no such thing\n\n"}},
+		{"a whole response", reply{status: 200, text: "HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nno\n\n"}},
+		{"error event", reply{status: 200, text: "event: error\ndata: no\n\n"}},
+		{"comment", reply{status: 200, text: ": wait\n\n"}},
+		{"events without IDs", reply{status: 200, events: 30, noIDs: true}},
+		{"a gap", reply{status: 200, firstID: 20, events: 20}},
+		{"known events only", reply{status: 200, events: 10}},
+	} {
+		t.Run(test.name, func(t *testing.T) { expectNotContinued(t, test.answer) })
+	}
+}
+
+// Guards against a stream whose last event has no numeric ID being resumed, stopped for a
+// move or given up for its silence: no other endpoint can go on after that event.
+func TestStreamWithoutPosition(t *testing.T) {
+	stream := reply{status: 200, events: 40, gap: 50 * time.Millisecond, noIDs: true}
+	broken, silent := stream, stream
+	broken.breaks = true
+	silent.text, silent.events, silent.gap = "data: x\n\n", 2, 2*time.Second
+	for _, test := range []struct {
+		name    string
+		kind    desc.Kind
+		reply   reply
+		leaves  bool // its endpoint is leaving
+		outcome callst.Outcome
+	}{
+		{"breaks off", desc.KindResumableStream, broken, false, callst.OutcomeInterrupted},
+		{"is silent", desc.KindResumableStream, silent, false, callst.OutcomeComplete},
+		{"its endpoint leaves", desc.KindStream, stream, true, callst.OutcomeComplete},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(test.reply, streamReply(0, 40))
+				if test.leaves {
+					time.AfterFunc(510*time.Millisecond, h.removeFirstEndpoint)
+				}
+				result := h.serve(t.Context(), test.kind, 2)
+				if want := test.reply.text + strings.Repeat("data: x\n\n", test.reply.events); result.Outcome != test.outcome || h.String() != want {
+					t.Errorf("outcome %v, body %q, want %v, %q", result.Outcome, h.String(), test.outcome, want)
+				}
+				if sent, _ := h.sends(); len(sent) != 1 || len(h.moves) > 0 {
+					t.Errorf("sent to %q, %d moves, want one send", sent, len(h.moves))
+				}
+				expectNoLoad(t, h)
+			})
+		})
+	}
+}
+
+// An event without an ID that arrives while its source is stopped for a move leaves no
+// place to go on from: the copy is freed and not used.
+func TestPositionLostDuringMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(streamReply(0, 40))
+		h.moveTimes = idleLinkTimes
+		c := &streamCall{
+			s: h.server, in: Input{Call: &desc.Call{Service: "s"}, Sink: h.fakeSink}, reports: make(chan opReport, 1),
+			holdTimer: time.NewTimer(time.Hour),
+		}
+		lease, ok := h.scheduler.TryPlace(time.Now(), sched.Request{Service: "s"})
+		if !ok {
+			t.Fatal("no endpoint has room")
+		}
+		c.at = newPosition("3").withEvent(event.Event{Raw: []byte("data: x\n\n")})
+		c.resumeFromCopy(t.Context(), &remoteCopy{target: lease})
+		result, done := c.handleReport(t.Context(), <-c.reports)
+		if !done || result.Outcome != callst.OutcomeInterrupted {
+			t.Errorf("result %+v, done %v, want an interrupted stream", result, done)
+		}
+		expectNoLoad(t, h)
+		if sent, _ := h.sends(); len(sent) != 0 || h.freedCopies != 1 {
+			t.Errorf("sent to %q, %d copies freed, want none and one", sent, h.freedCopies)
+		}
+	})
+}
+
+// Which events of a source follow a position, and whether its end is that of the stream.
+func TestContinuation(t *testing.T) {
+	const rest = "id: 4\ndata: d\n\nid: 5\ndata: e\n\n"
+	atStart, afterHead := newPosition(""), newPosition("").withBegin()
+	resumedByCaller, after3 := newPosition("3"), newPosition("3").withBegin()
+	for _, test := range []struct {
+		name       string
+		at         position
+		body, want string
+		end        error
+	}{
+		{"first source", atStart, "data: a\n\n: wait\n\n" + rest, "data: a\n\n: wait\n\n" + rest, io.EOF},
+		{"first source, empty", atStart, "", "", io.EOF},
+		{"first source skips an ID of its own", atStart, "id: 1\n\nid: 3\n\n", "id: 1\n\nid: 3\n\n", io.EOF},
+		{"first source repeats an event", atStart, "id: 1\n\nid: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\n", io.EOF},
+		{"resumed by the caller", resumedByCaller, rest, rest, io.EOF},
+		{"resumed by the caller at the end", resumedByCaller, "", "", io.EOF},
+		{"resumed by the caller, starts over", resumedByCaller, "id: 2\n\nid: 3\n\n" + rest, rest, io.EOF},
+		{"resumed by the caller, a gap", resumedByCaller, "id: 5\ndata: e\n\n", "", errNotContinued},
+		{"resumed by the caller, a gap after a comment", resumedByCaller, ": wait\n\nid: 5\n\n", ": wait\n\n", errNotContinued},
+		{"resumed by the caller, no IDs", resumedByCaller, "data: a\n\n", "data: a\n\n", io.EOF},
+		{"begun without an event", afterHead, rest, rest, io.EOF},
+		{"begun without an event, empty", afterHead, "", "", errNotContinued},
+		{"begun without an event, no IDs", afterHead, "data: a\n\n", "", errNotContinued},
+		{"continues", after3, rest, rest, io.EOF},
+		{"continues after a comment", after3, ": wait\n\n" + rest, rest, io.EOF},
+		{"continues after known events", after3, "id: 1\n\nid: 3\n\n" + rest, rest, io.EOF},
+		{"continues with events of its own", after3, rest + "data: f\n\n: wait\n\n", rest + "data: f\n\n: wait\n\n", io.EOF},
+		{"a gap", after3, "id: 5\n\n", "", errNotContinued},
+		{"the last number of all", newPosition("9223372036854775807").withBegin(), "id: 1\n\n", "", errNotContinued},
+		{"negative ID", after3, "id: -4\n\n", "", errNotContinued},
+		{"cut in an event", after3, rest + "id: 6\nda", rest, io.ErrUnexpectedEOF},
+		{"cut in the first event", after3, "id: 4\nda", "", io.ErrUnexpectedEOF},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newContinuation(strings.NewReader(test.body), test.at)
+			var got strings.Builder
+			for {
+				e, at, err := c.next()
+				if err != nil {
+					if !errors.Is(err, test.end) || got.String() != test.want {
+						t.Errorf("events %q, end %v, want %q, %v", got.String(), err, test.want, test.end)
+					}
+					return
+				}
+				got.Write(e.Raw)
+				if !at.begun || e.Comment != strings.HasPrefix(string(e.Raw), ":") {
+					t.Errorf("event %+v, position %+v", e, at)
+				}
+			}
+		})
+	}
+}
+
 // An endpoint that cannot continue a stream counts as failed: the endpoint before it
 // accepted the same call.
 func TestUnfitResponseCountsAsFailure(t *testing.T) {
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -39,6 +39,7 @@
 	firstID     int // ID of the first event
 	events      int // number of events of a stream
 	gap         time.Duration
+	noIDs       bool // the events have no IDs
 	breaks      bool // the connection breaks after the events
 	hangs       bool // nothing follows the events and the body does not end
 }
@@ -191,7 +192,10 @@
 				_ = w.CloseWithError(ctx.Err())
 				return
 			}
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			if !rep.noIDs {
+				_, _ = fmt.Fprintf(w, "id: %d\n", i)
+			}
+			_, _ = io.WriteString(w, "data: x\n\n")
 		}
 		if rep.hangs {
 			<-ctx.Done()
--- a/internal/router/serve/move.go
+++ b/internal/router/serve/move.go
@@ -27,7 +27,7 @@
 // canMove reports whether the running generation can be moved to another engine.
 func (c *streamCall) canMove() bool {
 	engine := c.in.Service.Engine
-	return engine != nil && engine.CanMoveMemory && c.begun && c.in.Call.Kind == desc.KindStream && len(c.tried) < maxEndpointChanges
+	return engine != nil && engine.CanMoveMemory && c.at.begun && !c.at.unknown && c.in.Call.Kind == desc.KindStream && len(c.tried) < maxEndpointChanges
 }
 
 // startMove starts to move the running generation to another engine. The current
@@ -37,7 +37,7 @@
 	c.moveBegun, c.spareCopy = true, nil
 	if m.first {
 		c.s.Log.Info("handover", zap.String("id", c.in.Call.ID), zap.String("endpoint", m.source.lease.Endpoint.ID),
-			zap.String("why", reason), zap.String("after", c.lastID))
+			zap.String("why", reason), zap.String("after", c.at.lastID))
 	}
 	c.opPending = true
 	go func() { c.reports <- c.move(ctx, m) }()
@@ -195,6 +195,12 @@
 // resumeFromCopy continues the stream at the engine that holds the copy.
 func (c *streamCall) resumeFromCopy(ctx context.Context, remote *remoteCopy) {
 	c.movedCopy, c.spareCopy = nil, nil
+	if c.at.unknown { // an event without an ID came in after the move had begun
+		c.s.discardCopy(remote)
+		c.opPending = true
+		c.reports <- opReport{failReason: ReasonLost}
+		return
+	}
 	c.resume(ctx, remote.target, remote.cache)
 }
 
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -30,7 +30,7 @@
 	c.opPending = true
 	c.sends++
 	tried := append([]string(nil), c.tried...)
-	after, begun := c.lastID, c.begun
+	at := c.at
 	timeout := c.responseStartTimeout()
 	placed := make(chan string, 1)
 	go func() {
@@ -41,7 +41,7 @@
 			return
 		}
 		placed <- lease.Endpoint.ID
-		src, a := c.s.open(ctx, lease, c.sendRequest(after, nil), begun, timeout)
+		src, a := c.s.open(ctx, lease, c.sendRequest(at.lastID, nil), at, timeout)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
 	if id, ok := <-placed; ok {
@@ -92,7 +92,7 @@
 func (c *streamCall) resume(ctx context.Context, target *sched.Lease, cache KVCacheRef) {
 	c.opPending = true
 	c.tried = append(c.tried, target.Endpoint.ID)
-	after, answering := c.lastID, c.answering()
+	at, answering := c.at, c.answering()
 	go func() {
 		if !c.takeRetry(ctx) {
 			target.Release(time.Now(), outcomeNone)
@@ -106,7 +106,7 @@
 			c.reports <- opReport{failReason: ReasonPromptBlocked}
 			return
 		}
-		src, a := c.s.open(ctx, target, c.sendRequest(after, &cache), true, 0)
+		src, a := c.s.open(ctx, target, c.sendRequest(at.lastID, &cache), at, 0)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
 }
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/mimosalock/mimosalock/internal/call/event"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
@@ -23,22 +22,22 @@
 
 // streamItem is an event of a source, or its end if err is set.
 type streamItem struct {
-	id  string
+	at  position // after the event
 	raw []byte
-	err error // io.EOF if the body arrived completely
+	err error // io.EOF if the stream arrived completely
 }
 
 // open sends the request and returns the response as a source, nil if the attempt
-// failed. begun means that it is to continue a response. The request is cancelled if the response has not begun within the timeout,
+// failed. The stream goes on from a position. The request is cancelled if the response has not begun within the timeout,
 // 0 for no limit.
-func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, begun bool, timeout time.Duration) (*source, attempt) {
+func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, at position, timeout time.Duration) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
 	if timeout > 0 {
 		defer time.AfterFunc(timeout, cancel).Stop()
 	}
 	a := attempt{lease: lease}
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
-	a.verdict = classifyStream(a.response, a.err, begun)
+	a.verdict = at.classify(a.response, a.err)
 	if a.verdict != verdictGood {
 		s.readFailureBody(ctx, &a)
 		cancel()
@@ -46,7 +45,7 @@
 		return nil, a
 	}
 	src := &source{lease: lease, response: a.response, cancel: cancel, events: make(chan streamItem, eventBuffer)}
-	go src.read(ctx)
+	go src.read(ctx, at)
 	return src, a
 }
 
@@ -67,12 +66,12 @@
 	}
 }
 
-// read sends events on the channel until the body ends or the source is closed.
-func (src *source) read(ctx context.Context) {
-	r := event.New(src.response.Body)
+// read sends the events that follow a position on the channel until the body ends or the source is closed.
+func (src *source) read(ctx context.Context, at position) {
+	r := newContinuation(src.response.Body, at)
 	for {
-		e, err := r.Next()
-		it := streamItem{id: e.ID, err: err}
+		e, after, err := r.next()
+		it := streamItem{at: after, err: err}
 		if err == nil {
 			it.raw = append([]byte(nil), e.Raw...)
 		}
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +30,7 @@
 	tried          []string        // IDs of the endpoints that were chosen
 	sends          int             // attempts that may have reached an endpoint, without resumes from a copy
 	source         *source         // the current one, nil before the first and after a loss
-	sourceEvents   int             // received from the current source
+	sourceEvents   int             // of the current source, sent to the caller
 	reports        chan opReport   // outcomes of sends and moves
 	opPending      bool            // a send or a move is in progress
 	movedCopy      *remoteCopy     // the complete copy made when the current source was stopped, nil if none
@@ -39,9 +38,7 @@
 	finalMoveSent  atomic.Bool     // a final move was requested, which stops the current source
 	maybeStopped   bool            // a final move failed: the current source may have been stopped
 	sourceEnded    bool            // the last source ended normally while its final move was in progress
-	begun          bool            // the caller has received the beginning of a response
-	lastID         string          // of the last event sent to the caller
-	lastSeq        int64           // lastID as a number, -1 if it is not one
+	at             position        // how far the caller has received the response
 	failedTargets  []string        // IDs of engines that the KV cache could not be copied to
 	answerRecorded time.Time       // when its prompt was last recorded as answered
 	blockedPrompts <-chan struct{} // closed when more prompt parts are blocked
@@ -77,7 +74,7 @@
 	defer cancel()
 	c := &streamCall{
 		s: s, in: in, state: callst.New(in.Call.Kind.Repeatable()), reports: make(chan opReport, 1),
-		lastID: in.Call.LastEventID, lastSeq: eventSeq(in.Call.LastEventID), stallTimer: time.NewTimer(time.Hour), holdTimer: time.NewTimer(time.Hour),
+		at: newPosition(in.Call.LastEventID), stallTimer: time.NewTimer(time.Hour), holdTimer: time.NewTimer(time.Hour),
 	}
 	defer c.cleanup()
 	c.blockedPrompts = s.blockedPrompts(in.Call)
@@ -134,7 +131,7 @@
 		return c.handleReport(ctx, o)
 	case <-c.blockedPrompts:
 		c.blockedPrompts = c.s.blockedPrompts(c.in.Call)
-		if !c.begun && c.s.promptBlocked(c.in.Call) {
+		if !c.at.begun && c.s.promptBlocked(c.in.Call) {
 			return c.finalResult(ReasonPromptBlocked), true // before the engine begins to answer and crashes
 		}
 	case <-c.holdTimer.C:
@@ -150,7 +147,7 @@
 // endedResult returns the result of a call whose context has ended. If the process stops,
 // a first send that is in progress ends at once, and tells whether the call was sent.
 func (c *streamCall) endedResult(reason Reason) Result {
-	if reason == ReasonStopping && c.opPending && !c.begun {
+	if reason == ReasonStopping && c.opPending && !c.at.begun {
 		o := <-c.reports
 		c.opPending = false
 		switch {
@@ -188,7 +185,7 @@
 		return Result{}, false
 	}
 	c.s.Log.Info("stream_broken", zap.String("id", c.in.Call.ID), zap.String("endpoint", c.source.lease.Endpoint.ID),
-		zap.String("after", c.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), zap.Error(it.err))
+		zap.String("after", c.at.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), zap.Error(it.err))
 	if !c.answering() {
 		c.s.recordCrash(c.in.Call, c.source.lease.Endpoint)
 	}
@@ -204,14 +201,9 @@
 	return !c.answering() && (len(c.in.Call.PromptParts) > 0 || c.source.response.Unframed)
 }
 
-// forward sends an event to the caller, unless an earlier source already provided
-// it.
+// forward sends an event to the caller.
 func (c *streamCall) forward(it streamItem) (Result, bool) {
 	c.sourceEvents++
-	seq := eventSeq(it.id)
-	if seq >= 0 && c.lastSeq >= 0 && seq <= c.lastSeq {
-		return Result{}, false
-	}
 	if err := c.in.Sink.Write(it.raw); err != nil {
 		return c.finalResult(ReasonCallerGone), true
 	}
@@ -221,7 +213,7 @@
 		c.answerRecorded = now
 		c.s.recordAnswer(c.in.Call)
 	}
-	c.lastID, c.lastSeq = it.id, seq
+	c.at = it.at
 	c.state = c.state.WithFrame(c.state.Relayed())
 	c.resetStallTimer()
 	return Result{}, false
@@ -261,9 +253,9 @@
 		return Result{}, false
 	}
 	c.s.Log.Info("stream_silent", zap.String("id", c.in.Call.ID), zap.String("endpoint", c.source.lease.Endpoint.ID),
-		zap.String("after", c.lastID))
+		zap.String("after", c.at.lastID))
 	resumable := c.in.Call.Kind == desc.KindResumableStream || c.spareCopy != nil
-	if !resumable || !c.s.Retries.CanRetry(time.Now(), c.in.Call.Service) {
+	if !resumable || c.at.unknown || !c.s.Retries.CanRetry(time.Now(), c.in.Call.Service) {
 		c.resetStallTimer()
 		return Result{}, false // the stream cannot be resumed elsewhere, so wait for the endpoint
 	}
@@ -335,7 +327,7 @@
 		c.state = c.state.WithLost()
 	case verdictLost:
 		c.reason = ReasonLost
-		if !c.begun {
+		if !c.at.begun {
 			c.state = c.state.WithOffer().WithLost()
 		}
 	case verdictUnfit:
@@ -351,7 +343,7 @@
 	if o.failReason != ReasonNone || ctx.Err() != nil || len(c.tried) >= maxEndpointsTried(call)+maxEndpointChanges {
 		return false
 	}
-	mayRerun := !c.begun && c.state.MayOffer() || call.Kind == desc.KindResumableStream
+	mayRerun := !c.at.begun && c.state.MayOffer() || call.Kind == desc.KindResumableStream && !c.at.unknown
 	if !mayRerun || c.sends >= max(1, call.MaxAttempts) {
 		return false
 	}
@@ -368,11 +360,11 @@
 	if c.source != nil {
 		c.source.close(time.Now(), outcomeNone)
 	}
-	if c.begun {
+	if c.at.begun {
 		c.s.Metrics.Resumes.Inc()
-		c.s.Log.Info("stream_resumed", zap.String("id", c.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID), zap.String("after", c.lastID))
+		c.s.Log.Info("stream_resumed", zap.String("id", c.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID), zap.String("after", c.at.lastID))
 	} else {
-		c.begun = true
+		c.at = c.at.withBegin()
 		c.in.Sink.Begin(src.response)
 		c.state = c.state.WithOffer().WithAccept()
 	}
@@ -389,7 +381,7 @@
 // error response of an endpoint is passed on to the caller and counts as complete.
 func (c *streamCall) finalResult(reason Reason) Result {
 	switch {
-	case c.begun:
+	case c.at.begun:
 		return Result{Outcome: callst.OutcomeInterrupted, Reason: reason}
 	case c.failed != nil:
 		c.in.Sink.Begin(c.failed.response)
@@ -406,12 +398,3 @@
 	}
 	return result
 }
-
-// eventSeq returns an event ID as a number, -1 if it is not one.
-func eventSeq(id string) int64 {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return -1
-	}
-	return n
-}
