A response that is no event stream is the answer to a streaming call, as it is

What callers saw: on a streaming route, the head of a worker's 404 or JSON answer and then a closed connection; of a resumable call, at times the head of a 404 and another worker's events. Cause: each valid response below 500 was read event by event. Text without a blank line at its end was taken for an event that breaks off, and an empty body under a call with a prompt for a crash, which was also recorded against the prompt. Change: position.classify, which decides what may continue a stream, also decides what is read as one: status 200 with the type text/event-stream or none. Any other valid response is read whole within the limits for single responses, and passed on with its status, head and body, once; it is not sent again. One that breaks off, or is an empty 200 without length and chunks, is lost like a single response: a resumable call goes to the next endpoint, and the caller of another one gets 502. Ruled out: streams that would now be held back.

--- a/internal/router/serve/continue.go
+++ b/internal/router/serve/continue.go
@@ -45,13 +45,17 @@
 }
 
 // classify returns the verdict on a response to a send that goes on from here, or on an
-// error. Only an event stream can continue a response that has begun.
+// error. Only an event stream is read event by event, and only one can continue a response
+// that has begun.
 func (p position) classify(resp *Response, err error) verdict {
 	v := classify(resp, err)
-	if v == verdictGood && p.begun && !isEventStream(resp) {
+	switch {
+	case v != verdictGood || isEventStream(resp):
+		return v
+	case p.begun:
 		return verdictUnfit
 	}
-	return v
+	return verdictWhole
 }
 
 // isEventStream reports whether the body of a valid response is a stream of events. One
--- a/internal/router/serve/continue_test.go
+++ b/internal/router/serve/continue_test.go
@@ -239,3 +239,50 @@
 		t.Errorf("outcome %v, want %v", got, sched.OutcomeFailed)
 	}
 }
+
+// Guards against an endpoint's error, or another response that is no event stream, being
+// broken off or sent again. It is the answer to the call, as it is.
+func TestResponseThatIsNoStream(t *testing.T) {
+	cutText := reply{status: 404, text: "no", breaks: true}
+	for _, test := range []struct {
+		name    string
+		answer  reply
+		outcome callst.Outcome // for a call that must not run again
+	}{
+		{"404, text", reply{status: 404, text: "no such thing"}, callst.OutcomeComplete},
+		{"404, empty", reply{status: 404}, callst.OutcomeComplete},
+		{"404, empty, without length or chunks", reply{status: 404, unframed: true}, callst.OutcomeComplete},
+		{"302", reply{status: 302}, callst.OutcomeComplete},
+		{"204", reply{status: 204}, callst.OutcomeComplete},
+		{"200, JSON", reply{status: 200, contentType: "application/json", text: "{}"}, callst.OutcomeComplete},
+		{"200, JSON, ends with its connection", reply{status: 200, contentType: "application/json", text: "{}", unframed: true}, callst.OutcomeComplete},
+		{"200, empty text, ends with its connection", reply{status: 200, contentType: "text/plain", unframed: true}, callst.OutcomeUnknown},
+		{"404, cut", cutText, callst.OutcomeUnknown},
+	} {
+		for _, parts := range [][]string{nil, {"p1"}} {
+			for _, kind := range []desc.Kind{desc.KindStream, desc.KindResumableStream} {
+				t.Run(test.name+", "+kind.String()+" "+strings.Join(parts, ","), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						h := newHarness(test.answer, streamReply(0, 40))
+						result := h.serve(t.Context(), kind, 2, parts...)
+						defer expectNoLoad(t, h)
+						if test.outcome != callst.OutcomeComplete && kind == desc.KindResumableStream {
+							expectStream(t, h, result, callst.OutcomeComplete, 40) // from the next endpoint
+							return
+						}
+						want, status := test.answer.text, test.answer.status
+						if test.outcome != callst.OutcomeComplete {
+							want, status = "", 0
+						}
+						if result.Outcome != test.outcome || h.status != status || h.String() != want {
+							t.Errorf("outcome %v, status %d, body %q, want %v, %d, %q", result.Outcome, h.status, h.String(), test.outcome, status, want)
+						}
+						if sent, _ := h.sends(); len(sent) != 1 {
+							t.Errorf("sent to %q, want one send", sent)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/router/serve/crash_test.go
+++ b/internal/router/serve/crash_test.go
@@ -58,6 +58,8 @@
 		{"engine cannot be reached", desc.KindStream, []reply{{err: unsentErr}, {err: unsentErr}, {err: unsentErr}}, 0},
 		{"engine refuses", desc.KindStream, []reply{overloadedReply}, 0},
 		{"engine fails", desc.KindStream, []reply{failedReply}, 0},
+		{"engine answers with an error of the caller's", desc.KindStream, []reply{{status: http.StatusNotFound}}, 0},
+		{"its text breaks off", desc.KindStream, []reply{{status: http.StatusNotFound, text: "no", breaks: true}}, 0},
 		{"stream is silent", desc.KindStream, []reply{{status: http.StatusOK, hangs: true}}, 0},
 		{"complete stream", desc.KindStream, []reply{streamReply(0, 3)}, 0},
 		{"single response breaks off", desc.KindAtMostOnce, []reply{{status: http.StatusOK, breaks: true}}, 1},
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/router/sched"
@@ -27,8 +28,8 @@
 	err error // io.EOF if the stream arrived completely
 }
 
-// open sends the request and returns the response as a source, nil if the attempt
-// failed. The stream goes on from a position. The request is cancelled if the response has not begun within the timeout,
+// open sends the request and returns the response as a source, nil if the attempt failed
+// or the response is no event stream. The stream goes on from a position. The request is cancelled if the response has not begun within the timeout,
 // 0 for no limit.
 func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, at position, timeout time.Duration) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
@@ -39,7 +40,7 @@
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
 	a.verdict = at.classify(a.response, a.err)
 	if a.verdict != verdictGood {
-		s.readFailureBody(ctx, &a)
+		s.readWholeBody(ctx, &a)
 		cancel()
 		lease.Release(time.Now(), a.leaseOutcome(caller))
 		return nil, a
@@ -49,9 +50,9 @@
 	return src, a
 }
 
-// readFailureBody reads the body of a failed attempt, which may be passed on to
+// readWholeBody reads the body of a response that is not a source. It may be passed on to
 // the caller.
-func (s *Server) readFailureBody(ctx context.Context, a *attempt) {
+func (s *Server) readWholeBody(ctx context.Context, a *attempt) {
 	if a.response == nil {
 		return
 	}
@@ -61,7 +62,10 @@
 	}
 	var err error
 	a.body, err = s.readBody(a.response.Body)
-	if err != nil && a.verdict == verdictFailed && ctx.Err() == nil {
+	if err == nil && a.verdict == verdictWhole && a.response.Status == http.StatusOK && a.response.Unframed && len(a.body) == 0 {
+		err = io.ErrUnexpectedEOF // a crashed engine's response ends regularly
+	}
+	if err != nil && (a.verdict == verdictWhole || a.verdict == verdictFailed && ctx.Err() == nil) {
 		a.verdict, a.err = verdictLost, err
 	}
 }
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -46,7 +46,7 @@
 	holdTimer      *time.Timer // ends moveOnHold
 	moveOnHold     bool        // no move is started for now, even if its endpoint is leaving
 	moveBegun      bool        // a move off the current source was attempted
-	failed         *attempt    // an endpoint's error response, passed on if no attempt succeeds
+	whole          *attempt    // a response that is no event stream, passed on if no attempt brings one
 	reason         Reason      // why the last source or attempt was lost
 	lastEventAt    time.Time   // arrival of the last event
 
@@ -321,8 +321,10 @@
 		if a.notReached() {
 			c.sends--
 		}
+	case verdictWhole:
+		c.whole = &a
 	case verdictFailed:
-		c.failed = &a
+		c.whole = &a
 		c.reason = ReasonLost
 		c.state = c.state.WithLost()
 	case verdictLost:
@@ -340,7 +342,7 @@
 // that is not allowed.
 func (c *streamCall) retry(ctx context.Context, o opReport) bool {
 	call := c.in.Call
-	if o.failReason != ReasonNone || ctx.Err() != nil || len(c.tried) >= maxEndpointsTried(call)+maxEndpointChanges {
+	if o.failReason != ReasonNone || o.attempt.verdict == verdictWhole || ctx.Err() != nil || len(c.tried) >= maxEndpointsTried(call)+maxEndpointChanges {
 		return false
 	}
 	mayRerun := !c.at.begun && c.state.MayOffer() || call.Kind == desc.KindResumableStream && !c.at.unknown
@@ -377,15 +379,15 @@
 	c.resetStallTimer()
 }
 
-// finalResult returns the result of a stream that ends before it is complete. An
-// error response of an endpoint is passed on to the caller and counts as complete.
+// finalResult returns the result of a stream that ends before it is complete. A
+// response that is no event stream is passed on to the caller and counts as complete.
 func (c *streamCall) finalResult(reason Reason) Result {
 	switch {
 	case c.at.begun:
 		return Result{Outcome: callst.OutcomeInterrupted, Reason: reason}
-	case c.failed != nil:
-		c.in.Sink.Begin(c.failed.response)
-		if err := c.in.Sink.Write(c.failed.body); err != nil {
+	case c.whole != nil:
+		c.in.Sink.Begin(c.whole.response)
+		if err := c.in.Sink.Write(c.whole.body); err != nil {
 			return Result{Outcome: callst.OutcomeInterrupted, Reason: ReasonCallerGone}
 		}
 		return Result{Outcome: callst.OutcomeComplete}
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -41,10 +41,13 @@
 	verdictFailed                // a complete response with a 5xx status
 	verdictNotRun                // the call did not run and will not run
 	verdictLost                  // no valid response; the call may have run
+	verdictWhole                 // a valid response to a streaming call that is no event stream
 	verdictUnfit                 // a valid response that cannot continue the stream
 )
 
-func (v verdict) String() string { return [...]string{"good", "failed", "never", "lost", "unfit"}[v] }
+func (v verdict) String() string {
+	return [...]string{"good", "failed", "never", "lost", "whole", "unfit"}[v]
+}
 
 // unaryCall is the state of a call whose response is buffered and passed on when it
 // is complete.
@@ -306,7 +309,7 @@
 
 func (s *Server) logAttempt(call *desc.Call, a attempt, number int) {
 	s.Metrics.Attempts.WithLabelValues(a.verdict.String()).Inc()
-	if a.verdict == verdictGood {
+	if a.verdict == verdictGood || a.verdict == verdictWhole {
 		return
 	}
 	status := 0
