Failing test: a part of an error response reaches the caller as if it were all of it

What callers saw: a 5xx with a worker's stamp and an empty or short body, framed as whole. A resumable stream gives up an endpoint whose response is not there after 1.5 times the target. If that was an error in the middle of its body and no other endpoint has an answer, the error is passed on.

--- a/internal/router/serve/continue_test.go
+++ b/internal/router/serve/continue_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -286,3 +288,23 @@
 		}
 	}
 }
+
+// Guards against the beginning of an error response, whose endpoint was given up before it
+// was complete, reaching the caller as if it were all of it.
+func TestPartOfErrorIsNotPassedOn(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("known red, see KNOWN-RED.txt")
+	}
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(reply{status: status, text: "half", hangs: true, breaks: true})
+				result := h.serve(t.Context(), desc.KindResumableStream, 2)
+				if result.Outcome != callst.OutcomeUnknown || h.status != 0 || h.Len() > 0 {
+					t.Errorf("outcome %v, status %d, body %q, want an unknown outcome and nothing sent", result.Outcome, h.status, h.String())
+				}
+				expectNoLoad(t, h)
+			})
+		})
+	}
+}
