What lasts for a time ends in time, also while the registry is silent

What callers saw: a call that waited for an endpoint that wanted nothing for 200 ms was placed after 0.9 to 1.1 s if nothing else arrived or ended meanwhile. Cause: what ends with the time, closed endpoints, grace periods and holds after an older copy, was looked at between two reads of the registry, each of which may take seconds. Change: it is looked at in a goroutine of its own. Evidence: TestClosedTimeEndsWhileRegistryIsSilent failed in each of its five calls, in simulated time; passes.

--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -212,10 +212,19 @@
 	w.started, w.lastCredit, w.peers = time.Now(), time.Now(), peers
 	go w.pollDraining(ctx)
 	go w.pullFromPeers(ctx)
+	go w.expireAll(ctx)
 	for ctx.Err() == nil {
 		if now := time.Now(); w.mustRead(now) {
 			w.readRegistry(ctx, now)
 		}
+		sleep(ctx, pollInterval)
+	}
+}
+
+// expireAll ends what lasts for a time, until the context ends. Reading the registry may take
+// seconds.
+func (w *Watcher) expireAll(ctx context.Context) {
+	for ctx.Err() == nil {
 		w.expire(time.Now())
 		sleep(ctx, pollInterval)
 	}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -330,3 +330,25 @@
 		})
 	})
 }
+
+// A call that waits until an endpoint wants calls again must not wait for the registry's
+// response too.
+func TestClosedTimeEndsWhileRegistryIsSilent(t *testing.T) {
+	withWatcher(t, nil, func(b *fixture) {
+		b.update(func(r *fakeRegistry) { r.onWatch = func() { time.Sleep(900 * time.Millisecond) } })
+		time.Sleep(2 * time.Second)
+		for range 5 {
+			now := time.Now()
+			b.scheduler.Close(now, endpoint(), now.Add(200*time.Millisecond))
+			l := b.scheduler.Wait(context.Background(), now, sched.Request{Service: "s"}, sched.WaitOptions{StartBy: now.Add(time.Second), Deadline: now.Add(5 * time.Second)})
+			if l == nil {
+				t.Fatal("the call was not placed")
+			}
+			if took := time.Since(now); took > 300*time.Millisecond {
+				t.Errorf("the call was placed after %v, want about 200 ms", took)
+			}
+			l.Release(time.Now(), sched.OutcomeNone)
+			time.Sleep(130 * time.Millisecond)
+		}
+	})
+}
