The registry's revision tells which start of an endpoint is newer, not its clock

What was seen, by reading and then by tests: an endpoint that came back under its ID with an earlier start time, as its clock had been set back, was not used: 0 calls in 2 s. Since the state outlives the entry, its entry was taken for a late event of an earlier incarnation; with its entry replaced in place, that was so before. A limit that it named was not kept to either. Cause: incarnations were put in order by a time of their own clock, which the platform lets jump. Change: the revision of the entry decides. Only an older copy of the registry may list an earlier start; that entry is kept until the hold after the rewind ends and counts then, unless another came. A limit counts if it was heard in the answer to a call that was sent after the last word. States that are no longer listed are dropped as time passes, not only when another endpoint goes, and a leaving word ends after an hour. Changed tests: the late event in TestListing has an earlier revision, as late events do; TestDeparturesExpire has the name of what it checks; TestMemoryIsBounded checked the newest words only at the end, and one of its cases could not fail. TestHistoriesLeaveEndpointUsable and TestLoadOutlivesRemovedTTL are new.

--- a/internal/router/avail/avail.go
+++ b/internal/router/avail/avail.go
@@ -28,7 +28,7 @@
 func (Closed) reason()  {}
 
 const (
-	// leavingTTL only bounds memory. It is longer than a leaving endpoint goes on running.
+	// leavingTTL is longer than a leaving endpoint goes on running.
 	leavingTTL = time.Hour
 	// maxIncarnations bounds memory, above the endpoints of the largest fleet and those that
 	// replace them in an hour.
@@ -96,7 +96,10 @@
 }
 
 // IsLeaving reports whether an incarnation has said that it leaves.
-func (l *Ledger) IsLeaving(i Incarnation) bool { return !l.records[i].leavingSince.IsZero() }
+func (l *Ledger) IsLeaving(now time.Time, i Incarnation) bool {
+	r := l.records[i]
+	return !r.leavingSince.IsZero() && now.Sub(r.heard) <= leavingTTL
+}
 
 // AnyClosed reports whether any incarnation may want no calls for a while.
 func (l *Ledger) AnyClosed(now time.Time) bool { return now.Before(l.closedUntil) }
--- a/internal/router/avail/avail_test.go
+++ b/internal/router/avail/avail_test.go
@@ -14,12 +14,12 @@
 	l.Hear(now, one, Leaving{})
 	l.Hear(now, one, Closed{Until: now.Add(time.Minute)})
 	for _, other := range []Incarnation{{"e", 2}, {"e", 0}, {"f", 1}} {
-		if l.IsLeaving(other) || l.ClosedFor(now, other) > 0 {
+		if l.IsLeaving(now, other) || l.ClosedFor(now, other) > 0 {
 			t.Errorf("%v got the words of %v", other, one)
 		}
 	}
-	if !l.IsLeaving(one) || l.ClosedFor(now, one) != time.Minute {
-		t.Errorf("leaving %v, closed for %v, want both", l.IsLeaving(one), l.ClosedFor(now, one))
+	if !l.IsLeaving(now, one) || l.ClosedFor(now, one) != time.Minute {
+		t.Errorf("leaving %v, closed for %v, want both", l.IsLeaving(now, one), l.ClosedFor(now, one))
 	}
 }
 
@@ -52,15 +52,13 @@
 			l, now := New(), time.Now()
 			for i := range 2 * maxIncarnations {
 				now = now.Add(time.Millisecond)
-				l.Hear(now, Incarnation{ID: fmt.Sprint(i % 7), StartedMs: int64(i)}, reason(now))
-			}
-			if len(l.records) > maxIncarnations {
-				t.Errorf("%d records, want at most %d", len(l.records), maxIncarnations)
-			}
-			for i := 2*maxIncarnations - 100; i < 2*maxIncarnations; i++ {
 				inc := Incarnation{ID: fmt.Sprint(i % 7), StartedMs: int64(i)}
-				if !l.IsLeaving(inc) && l.ClosedFor(now, inc) == 0 {
-					t.Fatalf("the word of %v, one of the newest, is gone", inc)
+				l.Hear(now, inc, reason(now))
+				if newest := l.records[inc]; newest.ended(now) || len(l.records) > maxIncarnations {
+					t.Fatalf("word %d: %d records, the newest is %+v, want at most %d and all of the newest", i, len(l.records), newest, maxIncarnations)
+				}
+				if before := (Incarnation{ID: fmt.Sprint((i - 100) % 7), StartedMs: int64(i - 100)}); i >= 100 && l.records[before].ended(now) {
+					t.Fatalf("word %d pushed out the word a hundred before", i)
 				}
 			}
 		})
@@ -68,14 +66,21 @@
 	t.Run("what has ended goes first", func(t *testing.T) {
 		l, now := New(), time.Now()
 		l.Hear(now, one, Leaving{})
-		now = now.Add(time.Second)
 		for i := range maxIncarnations {
+			now = now.Add(100 * time.Millisecond)
 			l.Hear(now, Incarnation{ID: "closed", StartedMs: int64(i)}, Closed{Until: now.Add(time.Second)})
-			now = now.Add(time.Second)
 		}
-		l.Hear(now.Add(-time.Minute), one, Leaving{})
-		if !l.IsLeaving(one) {
-			t.Error("an endpoint that still says that it leaves was forgotten for closed times that have ended")
+		if !l.IsLeaving(now, one) {
+			t.Error("an endpoint that leaves was forgotten for closed times that have ended")
 		}
 	})
 }
+
+// What an endpoint said must end at some time, also for one whose start nobody knows.
+func TestLeavingEnds(t *testing.T) {
+	l, now := New(), time.Now()
+	l.Hear(now, Incarnation{ID: "e"}, Leaving{})
+	if l.IsLeaving(now.Add(leavingTTL+time.Second), Incarnation{ID: "e"}) {
+		t.Error("the endpoint is leaving for ever")
+	}
+}
--- a/internal/router/limit/limit_test.go
+++ b/internal/router/limit/limit_test.go
@@ -284,3 +284,14 @@
 		}
 	}
 }
+
+// A limit that an endpoint names after its clock was set back must be kept to.
+func TestLimitAfterClockSetBack(t *testing.T) {
+	l, now := newLedger("a"), time.Now()
+	l.Hear(now, engine, now, Statement{Named: true, Rate: 3})
+	next := engine
+	next.StartedMs--
+	now = now.Add(time.Minute)
+	l.Hear(now.Add(time.Millisecond), next, now, Statement{Named: true, Rate: 2})
+	expectNamed(t, l, next, 2, true)
+}
--- a/internal/router/limit/word.go
+++ b/internal/router/limit/word.go
@@ -66,8 +66,8 @@
 	switch {
 	case !s.Named && (!found || known.startedMs == e.StartedMs && sent.Before(known.at)):
 		return false // the response may have been under way when the endpoint named its limit
-	case found && known.startedMs > e.StartedMs:
-		return false // a call to an earlier incarnation
+	case found && known.startedMs > e.StartedMs && !sent.After(known.at):
+		return false // a call to an earlier incarnation; start times alone do not tell, as clocks are set back
 	}
 	return l.set(now, key, word{Statement: s, startedMs: e.StartedMs, at: now}, e.ID)
 }
--- a/internal/router/sched/epoch.go
+++ b/internal/router/sched/epoch.go
@@ -53,6 +53,13 @@
 // endHolds makes the endpoints usable that the registry still lists as ready.
 func (s *Scheduler) endHolds(now time.Time) (changes []Change) {
 	for _, e := range s.endpoints {
+		if ep := e.earlierStart; ep != nil && !now.Before(s.holdUntil) {
+			e.earlierStart, e.endpoint.Revision = nil, 0
+			if c := s.put(now, *ep); c.Kind != ChangeNone {
+				changes = append(changes, c)
+			}
+			continue
+		}
 		if e.heldUntil.IsZero() || now.Before(e.heldUntil) {
 			continue
 		}
--- a/internal/router/sched/epoch_test.go
+++ b/internal/router/sched/epoch_test.go
@@ -9,13 +9,14 @@
 )
 
 // What is remembered of endpoints that have left does not grow without bound.
-func TestDeparturesExpire(t *testing.T) {
+func TestRemovedStatesExpire(t *testing.T) {
 	s := New(Config{Processes: func() int { return 1 }})
 	now := time.Now()
 	for i := range 1000 {
 		id := fmt.Sprint(i)
 		s.Put(now, endpt.Endpoint{ID: id, Service: "s", Slots: 1})
 		s.Remove(now, id, time.Time{})
+		s.ExpireGrace(now)
 		now = now.Add(time.Second)
 	}
 	if count := len(s.endpoints); count > 61 {
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -49,8 +49,8 @@
 
 func (s *Scheduler) put(now time.Time, ep endpt.Endpoint) Change {
 	e, known := s.endpoints[ep.ID]
-	if known && ep.StartedMs < e.endpoint.StartedMs {
-		return Change{Endpoint: ep} // late event of an earlier incarnation
+	if known && s.isOutdated(now, e, ep) {
+		return Change{Endpoint: ep}
 	}
 	switch {
 	case !known:
@@ -62,7 +62,7 @@
 		e.endpoint = ep
 		return s.list(now, e)
 	}
-	e.endpoint = ep
+	e.endpoint, e.earlierStart = ep, nil
 	switch {
 	case ep.Draining && !e.isLeaving:
 		e.markLeaving(ep.Revision)
@@ -74,6 +74,21 @@
 	return Change{Endpoint: ep}
 }
 
+// isOutdated reports whether an entry is older than the one that is known. The registry's
+// revisions tell, and not the start times, which come from clocks that may be set back. Only a
+// registry that has just come back from an older copy may list an earlier start, which is
+// looked at again when the endpoint registers.
+func (s *Scheduler) isOutdated(now time.Time, e *endpointState, ep endpt.Endpoint) bool {
+	if now.Before(s.holdUntil) {
+		if ep.StartedMs < e.endpoint.StartedMs {
+			e.earlierStart = &ep
+			return true
+		}
+		return false
+	}
+	return ep.Revision < e.endpoint.Revision
+}
+
 // list makes an endpoint usable that the registry lists from now on, or again, unless there is
 // a reason against it.
 func (s *Scheduler) list(now time.Time, e *endpointState) Change {
@@ -83,9 +98,9 @@
 	if e.isLeaving {
 		e.isLeaving, e.leaving = false, make(chan struct{})
 	}
-	e.removed, e.heldUntil, e.graceUntil = false, time.Time{}, time.Time{}
+	e.removed, e.heldUntil, e.graceUntil, e.earlierStart = false, time.Time{}, time.Time{}, nil
 	switch {
-	case s.words.IsLeaving(incarnationOf(ep)):
+	case s.words.IsLeaving(now, incarnationOf(ep)):
 		e.markLeaving(RevisionUntilRestart)
 	case ep.Draining:
 		e.markLeaving(ep.Revision)
@@ -184,12 +199,12 @@
 		return Change{e.endpoint, ChangeLapsed}
 	}
 	wasLeaving := e.isLeaving
+	e.earlierStart = nil
 	if e.graceUntil.IsZero() {
 		e.departedAt = now
 	}
 	e.markLeaving(e.endpoint.Revision)
 	e.removed, e.removedAt = true, now
-	s.forgetRemoved(now)
 	if wasLeaving {
 		return Change{}
 	}
@@ -214,6 +229,7 @@
 		}
 	}
 	changes = append(changes, s.endHolds(now)...)
+	s.forgetRemoved(now)
 	s.placeWaiting(now) // cold limits and suspect times may have ended
 	return changes
 }
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -87,17 +87,18 @@
 	local           Load          // placed by this process
 	leaving         chan struct{} // closed when isLeaving is set
 	isLeaving       bool
-	leavingRevision uint64      // registry revision that reported it as leaving
-	heldUntil       time.Time   // leaving until then though the registry may list it as ready, see BeginEpoch
-	graceUntil      time.Time   // not listed by the registry but usable until then; zero if listed
-	removed         bool        // the registry does not list it
-	removedAt       time.Time   // when it ceased to, if removed
-	departedAt      time.Time   // the same, zero if it was listed again or its entry expired during a registry outage
-	recentSends     []time.Time // send times; those older than coldWindow are dropped with the next send
-	failures        int         // consecutive failures to reach it
-	suspectUntil    time.Time   // used until then only if there is no alternative
-	failureRate     float64     // moving average of failed calls, 0 to 1
-	missedAt        time.Time   // when a call would have been placed on it with a permit
+	leavingRevision uint64          // registry revision that reported it as leaving
+	heldUntil       time.Time       // leaving until then though the registry may list it as ready, see BeginEpoch
+	graceUntil      time.Time       // not listed by the registry but usable until then; zero if listed
+	removed         bool            // the registry does not list it
+	removedAt       time.Time       // when it ceased to, if removed
+	earlierStart    *endpt.Endpoint // listed since the registry came back from an older copy, nil if none is
+	departedAt      time.Time       // the same, zero if it was listed again or its entry expired during a registry outage
+	recentSends     []time.Time     // send times; those older than coldWindow are dropped with the next send
+	failures        int             // consecutive failures to reach it
+	suspectUntil    time.Time       // used until then only if there is no alternative
+	failureRate     float64         // moving average of failed calls, 0 to 1
+	missedAt        time.Time       // when a call would have been placed on it with a permit
 }
 
 func newState(ep endpt.Endpoint) *endpointState {
--- a/internal/router/sched/sched_test.go
+++ b/internal/router/sched/sched_test.go
@@ -248,8 +248,10 @@
 		{"draining", func(s *Scheduler) Change { return s.Put(time.Now(), draining) }, ChangeLeaving, false},
 		{"restarted under the same ID", func(s *Scheduler) Change { return s.Put(time.Now(), restarted) }, ChangeAdded, true},
 		{"late event of an earlier incarnation", func(s *Scheduler) Change {
-			s.Put(time.Now(), restarted)
-			return s.Put(time.Now(), draining)
+			next, late := restarted, draining
+			next.Revision, late.Revision = 9, 8
+			s.Put(time.Now(), next)
+			return s.Put(time.Now(), late)
 		}, ChangeNone, true},
 		{"removed", func(s *Scheduler) Change { return s.Remove(time.Now(), "e", time.Time{}) }, ChangeLeaving, false},
 		{"removed and listed again", func(s *Scheduler) Change {
--- a/internal/router/sched/words_test.go
+++ b/internal/router/sched/words_test.go
@@ -72,6 +72,7 @@
 						t.Error("a call was placed")
 					}
 					e.StartedMs++
+					e.Revision = 9
 					s.Put(later, e)
 					if _, placed := s.TryPlace(later, request(1)); !placed {
 						t.Error("no call was placed on an endpoint that started anew")
@@ -185,3 +186,69 @@
 	default:
 	}
 }
+
+// The histories above must not by themselves make an endpoint unusable, or the tests of words
+// would show nothing.
+func TestHistoriesLeaveEndpointUsable(t *testing.T) {
+	for history, play := range entryHistories {
+		t.Run(history, func(t *testing.T) {
+			s, now := newScheduler(1), time.Now()
+			e := engine("e", "a1")
+			e.Revision = 5
+			s.Put(now, e)
+			play(s, now, e)
+			if _, placed := s.TryPlace(now.Add(5*time.Second), request(1)); !placed {
+				t.Error("no call was placed though the endpoint has said nothing")
+			}
+		})
+	}
+}
+
+// A call that runs for long at an endpoint without an entry must be counted when the entry
+// comes back.
+func TestLoadOutlivesRemovedTTL(t *testing.T) {
+	s, now := newScheduler(1), time.Now()
+	e := engine("e", "a1")
+	s.Put(now, e)
+	expectPlaced(t, s, request(100), "e")
+	before := s.Loads()
+	s.Remove(now, "e", time.Time{})
+	now = now.Add(10 * removedTTL)
+	s.ExpireGrace(now)
+	s.Put(now, e)
+	if after := s.Loads(); after[KeyOf("e")] != before[KeyOf("e")] {
+		t.Errorf("load %+v, want %+v", after, before)
+	}
+}
+
+// An endpoint whose clock was set back, or that no longer tells its start, must be used when it
+// registers again, with its entry gone before, replaced, or read from an older copy.
+func TestEarlierStartTime(t *testing.T) {
+	for start, started := range map[string]int64{"clock set back": 50, "unknown": 0} {
+		for history, play := range map[string]func(s *Scheduler, now time.Time){
+			"after its entry was gone": func(s *Scheduler, now time.Time) { s.Remove(now, "e", time.Time{}) },
+			"in place of its entry":    func(*Scheduler, time.Time) {},
+			"in an older copy":         func(s *Scheduler, now time.Time) { s.BeginEpoch(now, time.Second) },
+			"gone, in an older copy": func(s *Scheduler, now time.Time) {
+				s.Remove(now, "e", time.Time{})
+				s.BeginEpoch(now, time.Second)
+			},
+		} {
+			t.Run(start+", "+history, func(t *testing.T) {
+				s, now := newScheduler(1), time.Now()
+				e := engine("e", "a1")
+				e.StartedMs, e.Revision = 100, 5
+				s.Put(now, e)
+				s.HearLeaving(now, e)
+				play(s, now)
+				e.StartedMs, e.Revision, e.Address = started, 9, "e:2"
+				s.Put(now, e)
+				now = now.Add(2 * time.Second)
+				s.ExpireGrace(now)
+				if l, placed := s.TryPlace(now, request(1)); !placed || l.Endpoint.Address != "e:2" {
+					t.Errorf("placed %v, want at the address of the newer entry", placed)
+				}
+			})
+		}
+	}
+}
