--- a/internal/call/httpc/client.go
+++ b/internal/call/httpc/client.go
@@ -345,17 +345,20 @@
 // another one that follows it: its status line is then part of a header's value or of the
 // status text.
 func joined(resp *http.Response) bool {
-	if statusLine.MatchString(resp.Status) {
+	if hasStatusLine(resp.Status) {
 		return true
 	}
 	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+		if slices.ContainsFunc(values, hasStatusLine) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasStatusLine looks for the protocol first, which is much cheaper and nearly always absent.
+func hasStatusLine(s string) bool { return strings.Contains(s, "HTTP/1.") && statusLine.MatchString(s) }
+
 // ReadAll reads the body of at most a number of bytes and closes the response. After a
 // larger one the connection is not used again.
 func (r *Response) ReadAll(most int64) ([]byte, error) {
