Peers hear again that an endpoint leaves when its entry comes back

What was seen, by reading: the change that follows when the entry of an endpoint returns that has said that it leaves carried the entry's revision, so that peers took it for the registry's word, and ignored it. Change: it is passed on as the endpoint's own word. Evidence: TestEntryOfLeavingEndpointIsNews failed before.

--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -102,6 +102,7 @@
 	switch {
 	case s.words.IsLeaving(now, incarnationOf(ep)):
 		e.markLeaving(RevisionUntilRestart)
+		return Change{ep, ChangeLeaving}.AtRevision(RevisionUntilRestart)
 	case ep.Draining:
 		e.markLeaving(ep.Revision)
 	case departed:
--- a/internal/router/sched/words_test.go
+++ b/internal/router/sched/words_test.go
@@ -252,3 +252,15 @@
 		}
 	}
 }
+
+// Peers that have started since must hear that an endpoint leaves when its entry comes back.
+func TestEntryOfLeavingEndpointIsNews(t *testing.T) {
+	s, now := newScheduler(1), time.Now()
+	e := engine("e", "a1")
+	s.Put(now, e)
+	s.HearLeaving(now, e)
+	s.Remove(now, e.ID, time.Time{})
+	if c := s.Put(now, e); c.Kind != ChangeLeaving || c.Endpoint.Revision != RevisionUntilRestart {
+		t.Errorf("change %+v, want that the endpoint itself said that it leaves", c)
+	}
+}
