--- a/internal/call/httpc/client_test.go
+++ b/internal/call/httpc/client_test.go
@@ -180,7 +180,7 @@
 // then not be reused, since the endpoint would take the next request for the
 // rest of the body.
 func TestEarlyResponseToLongBody(t *testing.T) {
-	body := strings.Repeat("x", 4<<20)
+	body := strings.Repeat("x", 32<<20) // more than the sockets of both ends buffer
 	rest := make(chan int64, 1)
 	addr := serveRaw(t, func(n int, c net.Conn, in *bufio.Reader) {
 		if n > 0 {
