A word that an endpoint leaves is news again after it has ended

Change: it counts as news. Comments of the change are reworded. Evidence: TestLeavingEnds failed before.

--- a/internal/router/avail/avail.go
+++ b/internal/router/avail/avail.go
@@ -1,6 +1,6 @@
-// Package avail remembers what endpoints say about the calls that they want. It is kept by
-// incarnation and apart from the registry: an entry that lapses, is rewritten, or arrives
-// late takes nothing away. It does no I/O.
+// Package avail remembers what endpoints say about the calls that they want. Records are kept
+// by incarnation and do not depend on the registry's entries, which may lapse, be rewritten, or
+// arrive late. It does no I/O.
 package avail
 
 import (
@@ -37,14 +37,18 @@
 
 // record is what one incarnation has said.
 type record struct {
-	leavingSince time.Time // zero if it is not leaving
-	closedUntil  time.Time
-	heard        time.Time // its newest reason
+	leaving     time.Time // when it last said that it leaves, zero if it did not
+	closedUntil time.Time
+	heard       time.Time // its newest reason
+}
+
+func (r record) isLeaving(now time.Time) bool {
+	return !r.leaving.IsZero() && now.Sub(r.leaving) <= leavingTTL
 }
 
 // ended reports whether nothing of the record holds any more.
 func (r record) ended(now time.Time) bool {
-	return (r.leavingSince.IsZero() || now.Sub(r.heard) > leavingTTL) && !now.Before(r.closedUntil)
+	return !r.isLeaving(now) && !now.Before(r.closedUntil)
 }
 
 // Ledger holds the reasons of all incarnations. It is not safe for concurrent use.
@@ -64,9 +68,8 @@
 	}
 	switch reason := reason.(type) {
 	case Leaving:
-		if news = r.leavingSince.IsZero(); news {
-			r.leavingSince = now
-		}
+		news = !l.IsLeaving(now, i)
+		r.leaving = now
 	case Closed:
 		if news = reason.Until.After(r.closedUntil); news {
 			r.closedUntil = reason.Until
@@ -97,8 +100,7 @@
 
 // IsLeaving reports whether an incarnation has said that it leaves.
 func (l *Ledger) IsLeaving(now time.Time, i Incarnation) bool {
-	r := l.records[i]
-	return !r.leavingSince.IsZero() && now.Sub(r.heard) <= leavingTTL
+	return l.records[i].isLeaving(now)
 }
 
 // AnyClosed reports whether any incarnation may want no calls for a while.
--- a/internal/router/avail/avail_test.go
+++ b/internal/router/avail/avail_test.go
@@ -83,4 +83,8 @@
 	if l.IsLeaving(now.Add(leavingTTL+time.Second), Incarnation{ID: "e"}) {
 		t.Error("the endpoint is leaving for ever")
 	}
+	now = now.Add(2 * leavingTTL)
+	if !l.Hear(now, Incarnation{ID: "e"}, Leaving{}) || !l.IsLeaving(now, Incarnation{ID: "e"}) {
+		t.Error("a word after the end of the former one is no news")
+	}
 }
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -199,7 +199,7 @@
 	defer g.mu.Unlock()
 	next := leavingInfo{e.StartedMs, e.Revision, epoch}
 	if known := g.leaving[e.ID]; known.saidItself() && known.StartedMs >= next.StartedMs && !next.saidItself() {
-		return // what the registry says adds nothing to it
+		return // the endpoint's own statement takes precedence over the registry's
 	}
 	g.leaving[e.ID] = leavingRecord{next, now}
 	g.noticeDue = true
--- a/internal/router/sched/limits.go
+++ b/internal/router/sched/limits.go
@@ -81,7 +81,7 @@
 	return s.cfg.Limits != nil && s.cfg.Limits.Any() || s.words.AnyClosed(now)
 }
 
-// Close stops calls to one start of an endpoint until a time, also if the registry does not
+// Close stops calls to one incarnation of an endpoint until a time, also if the registry does not
 // list it. It reports whether that is later than known before.
 func (s *Scheduler) Close(now time.Time, ep endpt.Endpoint, until time.Time) bool {
 	s.mu.Lock()
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -74,10 +74,10 @@
 	return Change{Endpoint: ep}
 }
 
-// isOutdated reports whether an entry is older than the one that is known. The registry's
-// revisions tell, and not the start times, which come from clocks that may be set back. Only a
-// registry that has just come back from an older copy may list an earlier start, which is
-// looked at again when the endpoint registers.
+// isOutdated reports whether an entry is older than the one that is known, by the registry's
+// revision: start times come from clocks that may be set back. A registry that has just come
+// back from an older copy may list an earlier incarnation; endHolds applies that entry if the
+// endpoint has not registered again by then.
 func (s *Scheduler) isOutdated(now time.Time, e *endpointState, ep endpt.Endpoint) bool {
 	if now.Before(s.holdUntil) {
 		if ep.StartedMs < e.endpoint.StartedMs {
@@ -134,8 +134,8 @@
 }
 
 // HearLeaving takes note that an endpoint has said that it leaves, to this process or to a
-// peer, also if the registry does not list it. No later entry of the same start makes it
-// usable again.
+// peer, also if the registry does not list it. No later entry of the same
+// incarnation makes it usable again.
 func (s *Scheduler) HearLeaving(now time.Time, ep endpt.Endpoint) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -92,8 +92,8 @@
 	graceUntil      time.Time       // not listed by the registry but usable until then; zero if listed
 	removed         bool            // the registry does not list it
 	removedAt       time.Time       // when it ceased to, if removed
+	departedAt      time.Time       // when it ceased to, zero if it was listed again since or its entry expired during a registry outage
 	earlierStart    *endpt.Endpoint // listed since the registry came back from an older copy, nil if none is
-	departedAt      time.Time       // the same, zero if it was listed again or its entry expired during a registry outage
 	recentSends     []time.Time     // send times; those older than coldWindow are dropped with the next send
 	failures        int             // consecutive failures to reach it
 	suspectUntil    time.Time       // used until then only if there is no alternative
