--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -33,8 +33,8 @@
 }
 
 // open sends the request and returns the response as a source, nil if the attempt failed
-// or the response is no event stream. The stream goes on from a position. The request is cancelled if the response has not begun within the timeout,
-// 0 for no limit.
+// or the response is no event stream. The stream goes on from a position. The request is
+// cancelled if the response has not begun within the timeout, 0 for no limit.
 func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, at position, timeout time.Duration) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
 	if timeout > 0 {
