--- a/internal/router/sched/words_test.go
+++ b/internal/router/sched/words_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -264,3 +265,27 @@
 		t.Errorf("change %+v, want that the endpoint itself said that it leaves", c)
 	}
 }
+
+// What a process that has started anew says before its entry is read must hold for it.
+func TestWordBeforeNewEntry(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("KNOWN-RED.txt, 17")
+	}
+	s, now := newScheduler(1), time.Now()
+	old := engine("e", "a1")
+	old.StartedMs, old.Revision = now.Add(-time.Hour).UnixMilli(), 5
+	s.Put(now, old)
+	s.Close(now, old, now.Add(10*time.Second)) // said by the new process, at the same address with the same ID
+	next := old
+	next.StartedMs, next.Revision = now.Add(-time.Second).UnixMilli(), 9
+	s.Put(now.Add(300*time.Millisecond), next)
+	placed := 0
+	for range 8 {
+		if _, ok := s.TryPlace(now.Add(time.Second), request(1)); ok {
+			placed++
+		}
+	}
+	if placed > 2 {
+		t.Errorf("%d calls placed at once within the closed time, want at most 2", placed)
+	}
+}
