Logs tell one call's sends apart, and a crash from a reset connection

Callers get 502 for a call that an endpoint broke off, and nothing tells whether the endpoint ended, or which of the calls under way was sent before.

- After a send that was broken off, the gateway looks whether the endpoint's address still serves connections: endpoint_checked, and the counter lost_sends_total.
Calls that break off together look once (singleflight, golang.org/x/sync).

--- a/internal/agent/invoke/invoke.go
+++ b/internal/agent/invoke/invoke.go
@@ -9,10 +9,8 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,8 +114,7 @@
 // the response to a call that this process has sent. A silent engine does not count, nor a
 // response that is beyond a limit.
 func brokeAtStart(j Job, err error) bool {
-	isClosed := slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncated}, func(target error) bool { return errors.Is(err, target) })
-	return isClosed && !j.Adopted && j.Buffer.Count() == 0
+	return (httpc.IsBroken(err) || errors.Is(err, errTruncated)) && !j.Adopted && j.Buffer.Count() == 0
 }
 
 // engineEnd returns the end of a call to an engine. After a failure of the
--- a/internal/call/desc/desc.go
+++ b/internal/call/desc/desc.go
@@ -60,6 +60,10 @@
 	MaxOutputTokens int // maximum number of generated tokens
 	LengthHint      int // caller's estimate of the generated tokens, 0 for none
 
+	// Fingerprint is the same for all calls with the same caller, path and body: they are one
+	// request that is sent again. 0 if unknown.
+	Fingerprint uint64
+
 	Regions     []string // regions that may serve the call, empty for all
 	LastEventID string   // the caller resumes after this event
 }
--- a/internal/router/serve/crash.go
+++ b/internal/router/serve/crash.go
@@ -1,13 +1,16 @@
 package serve
 
 import (
+	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/call/httpc"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/router/blame"
 )
@@ -25,6 +28,38 @@
 	return lo.Map(call.PromptParts, func(id string, _ int) blame.Part { return blame.KeyOf(id) })
 }
 
+// checkTimeout bounds how long a lost send waits to learn what became of its endpoint. It is
+// a few round trips between regions.
+const checkTimeout = 150 * time.Millisecond
+
+// checkDown reports whether an endpoint that broke off a call serves nobody any more. Calls
+// that break off together ask once.
+func (s *Server) checkDown(ctx context.Context, call *desc.Call, endpoint endpt.Endpoint, cause error) bool {
+	if ctx.Err() != nil || !httpc.IsBroken(cause) {
+		return false
+	}
+	began := time.Now()
+	v, _, _ := s.checks.Do(endpoint.ID, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+		defer cancel()
+		return s.Upstream.Closed(ctx, endpoint), nil
+	})
+	down := v.(bool)
+	state := "up"
+	if down {
+		state = "down"
+	}
+	s.Metrics.LostSends.WithLabelValues(state).Inc()
+	s.Log.Info("endpoint_checked", zap.String("id", call.ID), zap.String("endpoint", endpoint.ID), zap.String("address", endpoint.Address),
+		zap.Int64("started_ms", endpoint.StartedMs), zap.String("found", state), zap.Duration("took", time.Since(began)), fingerprintField(call))
+	return down
+}
+
+// fingerprintField returns the log field that is the same for all sends of one request.
+func fingerprintField(call *desc.Call) zap.Field {
+	return zap.String("fingerprint", strconv.FormatUint(call.Fingerprint, 16))
+}
+
 // recordCrash records that an engine broke off a call's response after its head and
 // before its first event.
 func (s *Server) recordCrash(call *desc.Call, engine endpt.Endpoint) {
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -54,6 +54,7 @@
 	replies []reply  // to the next sends; after the last one sends are refused as overloaded
 	sendLog []string // endpoint ID, then the event ID and KV cache handle to resume from, if any
 	runs    int      // sends whose call ran
+	closed  bool     // nothing serves connections at the endpoints' addresses
 	stop    func()   // ends the stream of the newest run, used by final moves
 	moveErr error
 	// moveTimes are how long moves take, in order; the last one repeats.
@@ -131,6 +132,12 @@
 	return "handle", nil
 }
 
+func (u *fakeUpstream) Closed(context.Context, endpt.Endpoint) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.closed
+}
+
 func (u *fakeUpstream) Free(context.Context, endpt.Endpoint, string) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
@@ -36,6 +37,8 @@
 	// The error is ErrNotRunning if the run has already ended, and ErrMoveRefused if
 	// the engine responded that it cannot move the run.
 	Move(ctx context.Context, from endpt.Endpoint, callID string, to endpt.Endpoint, final bool) (handle string, err error)
+	// Closed reports whether nothing serves connections at the endpoint's address.
+	Closed(ctx context.Context, at endpt.Endpoint) bool
 	// Free deletes the copy of a KV cache that an engine holds under a handle.
 	Free(ctx context.Context, at endpt.Endpoint, handle string) error
 }
@@ -141,6 +144,7 @@
 	Deps
 	moveLocks *moveLocks
 	durations *durationStats
+	checks    singleflight.Group // of endpoints that broke off a call, by ID
 	stopping  atomic.Bool
 }
 
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -185,10 +185,11 @@
 		return Result{}, false
 	}
 	c.s.Log.Info("stream_broken", zap.String("id", c.in.Call.ID), zap.String("endpoint", c.source.lease.Endpoint.ID),
-		zap.String("after", c.at.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), zap.Error(it.err))
+		zap.String("after", c.at.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), fingerprintField(c.in.Call), zap.Error(it.err))
 	if !c.answering() {
 		c.s.recordCrash(c.in.Call, c.source.lease.Endpoint)
 	}
+	c.s.checkDown(ctx, c.in.Call, c.source.lease.Endpoint, it.err)
 	return c.loseSource(ctx, outcomeFailed)
 }
 
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -31,6 +31,7 @@
 	response *Response
 	body     []byte
 	err      error
+	down     bool // it was broken off, and the endpoint serves nobody since
 }
 
 // verdict classifies the outcome of an attempt.
@@ -242,6 +243,7 @@
 	case a.err != nil && ctx.Err() == nil && a.beganAnswer():
 		s.recordCrash(in.Call, lease.Endpoint)
 	}
+	a.down = a.verdict == verdictLost && s.checkDown(ctx, in.Call, lease.Endpoint, a.err)
 	return a
 }
 
@@ -318,6 +320,6 @@
 	}
 	s.Log.Info("attempt", zap.String("id", call.ID), zap.String("service", call.Service), zap.Stringer("kind", call.Kind),
 		zap.String("endpoint", a.lease.Endpoint.ID), zap.String("address", a.lease.Endpoint.Address),
-		zap.Int("number", number), zap.Stringer("verdict", a.verdict), zap.Int("status", status), zap.Strings("prompt_parts", call.PromptParts), zap.Error(a.err),
+		zap.Int("number", number), zap.Stringer("verdict", a.verdict), zap.Int("status", status), zap.Strings("prompt_parts", call.PromptParts), fingerprintField(call), zap.Error(a.err),
 		zap.Duration("age", time.Since(call.Arrived)), zap.Uint64("version", call.Version))
 }
