Entry with agent: a call that crashes endpoints is recognized and refused

Callers' repeats took down engine after engine.

- An entry blames the call itself too, by the hash of service, workspace, method, target and body, and offers it to no third endpoint after two crashes.
- An agent says of a plain endpoint that it broke off the call and serves nobody since; its start is unknown, so that each second counts as one.

Remains: a call that crashes its engine after the first frame of its stream is not found here, as an agent reports only what broke off before.

--- a/internal/agent/invoke/invoke.go
+++ b/internal/agent/invoke/invoke.go
@@ -33,6 +33,7 @@
 	maxResponseBytes  = 32 << 20
 	doneEvent         = "[DONE]"
 	maxClosed         = time.Hour
+	closedTimeout     = 100 * time.Millisecond // to connect to an endpoint that broke off a call
 )
 
 // Job is one started call.
@@ -292,11 +293,12 @@
 		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_COMPLETE}
 	case isUnsent(err):
 		return unsentEnd(err)
-	case j.Offer.NoRepeat:
-		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
-	default:
-		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: err.Error(), Rerun: ctx.Err() == nil}
 	}
+	crashed := httpc.IsBroken(err) && ctx.Err() == nil && httpc.Closed(ctx, j.Endpoint, closedTimeout)
+	if j.Offer.NoRepeat {
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error(), BrokeAtStart: crashed}
+	}
+	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: err.Error(), Rerun: ctx.Err() == nil, BrokeAtStart: crashed}
 }
 
 func readBody(resp *origin.Response) ([]byte, error) {
--- a/internal/call/httpc/closed.go
+++ b/internal/call/httpc/closed.go
@@ -18,7 +18,12 @@
 // one, or it is closed before a request is sent. An address that does not respond is not
 // known to be closed.
 func (p *Pool) Closed(ctx context.Context, addr string) bool {
-	d := net.Dialer{Timeout: p.cfg.DialTimeout, KeepAlive: -1}
+	return Closed(ctx, addr, p.cfg.DialTimeout)
+}
+
+// Closed is Pool.Closed with a limit on the time to connect.
+func Closed(ctx context.Context, addr string, timeout time.Duration) bool {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/entry/relay/attempt.go
+++ b/internal/entry/relay/attempt.go
@@ -34,8 +34,8 @@
 // startAttempt probes candidates and offers the call to the best one. It returns
 // an End if no candidate admits the call, or engines crash under its prompt.
 func (s *Session) startAttempt(ctx context.Context) Event {
-	if s.promptBlocked(time.Now()) {
-		return s.end("engines crash under a part of the prompt", promptBlockedRetryAfter)
+	if reason := s.blocked(time.Now()); reason != "" {
+		return s.end(reason, blockedRetryAfter)
 	}
 	probes := probeReplies{conns: map[string]*link.Conn{}}
 	best, ok := s.chooseAgent(ctx, &probes)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -47,6 +47,9 @@
 	Buffered  bool          // the caller receives the response only once it is complete
 	// PromptParts are the parts of the prompt that calls share, in order: without the last one.
 	PromptParts []blame.Part
+	// Fingerprint is the same for all calls with the same caller, path and body: they are one
+	// request that is sent again. 0 if unknown.
+	Fingerprint blame.Part
 }
 
 // Event is what Next returns: a Frame, Restart or End.
@@ -101,6 +104,7 @@
 	head          *peerpb.Head
 	tried         map[string]bool // hosts that refused this call or lost an attempt
 	offerCount    int             // number of offers sent
+	crashes       int             // of endpoints, under the call
 	minRetryAfter time.Duration   // shortest retry-after time received from an agent
 	lastRefusal   string          // reason of the last refusal
 	lastAnswer    time.Time       // when an answer to the prompt was last recorded, at first that of the first frame
@@ -324,7 +328,7 @@
 	}
 	s.tried[s.agent.Host] = true
 	s.Close()
-	if e.Rerun && s.state.MayOffer() && s.tryRetry("endpoint failed") {
+	if e.Rerun && s.state.MayOffer() && s.crashes < maxCrashesPerCall && s.tryRetry("endpoint failed") {
 		s.head = nil
 		return nil
 	}
--- a/internal/entry/server/generate.go
+++ b/internal/entry/server/generate.go
@@ -129,7 +129,7 @@
 	buffered := !req.Stream || s.Delivery == spec.DeliveryWhole
 	return relay.Call{
 		ID: callid.NewCall(), Service: s, Workspace: w, Offer: offer, Buffered: buffered,
-		PromptParts: promptParts(s.Name, fields["messages"]),
+		PromptParts: promptParts(s.Name, fields["messages"]), Fingerprint: fingerprint(w, offer),
 	}, nil
 }
 
@@ -142,6 +142,17 @@
 	return lo.Map(all[:len(all)-1], func(m json.RawMessage, _ int) blame.Part { return blame.KeyOf(service + "/" + string(m)) })
 }
 
+// fingerprint returns the hash of a call's service, workspace, method, target and body.
+func fingerprint(w spec.Workspace, offer *peerpb.Offer) blame.Part {
+	h := xxhash.New()
+	for _, field := range []string{offer.Service, w.Name, offer.Method, offer.Target} {
+		_, _ = h.WriteString(field) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(offer.Body)
+	return blame.Part(max(1, h.Sum64())) // 0 means unknown
+}
+
 // stream serves a call with a streamed response. The HTTP status is sent only with
 // the first frame, so that a call that fails before it gets an error status.
 func (srv *Server) stream(ctx context.Context, c *fiber.Ctx, stop context.CancelFunc, s *relay.Session, call relay.Call) error {
--- a/internal/entry/server/service.go
+++ b/internal/entry/server/service.go
@@ -54,7 +54,7 @@
 	}
 	ctx, stop := srv.callContext(c, s)
 	defer stop()
-	session := relay.New(srv.relay, relay.Call{ID: id, Service: s, Workspace: w, Offer: offer, Buffered: true})
+	session := relay.New(srv.relay, relay.Call{ID: id, Service: s, Workspace: w, Offer: offer, Buffered: true, Fingerprint: fingerprint(w, offer)})
 	body, end := readResponse(ctx, session, nil)
 	return srv.respond(c, session, body, end)
 }
