Logs name versions of endpoints' software and what callers take up

The registry's field for the version of an endpoint's software was dropped, and nothing read which call began the stream that a caller resumes.

- endpoint_added and the like, stream_broken and stream_resumed name the version; caller_resumes names the call that brought the stream's first event.

--- a/internal/call/desc/desc.go
+++ b/internal/call/desc/desc.go
@@ -66,6 +66,7 @@
 
 	Regions     []string // regions that may serve the call, empty for all
 	LastEventID string   // the caller resumes after this event
+	Resumes     string   // ID of the caller's call that brought the stream's first event, empty if the caller names none
 }
 
 // Remaining returns the time until the deadline.
--- a/internal/fleet/endpt/endpt.go
+++ b/internal/fleet/endpt/endpt.go
@@ -6,6 +6,7 @@
 	ID         string
 	StartedMs  int64 // start time in Unix milliseconds by the endpoint's own clock, 0 if unknown
 	Service    string
+	Software   string // version of its software, empty if unknown
 	Address    string // IP:port
 	DataCentre string
 	Region     string
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -330,7 +330,7 @@
 		return
 	}
 	w.Log.Info("endpoint_"+c.Kind.String(), zap.String("endpoint", c.Endpoint.ID), zap.String("address", c.Endpoint.Address),
-		zap.String("service", c.Endpoint.Service), zap.String("data_centre", c.Endpoint.DataCentre), zap.Int64("started_ms", c.Endpoint.StartedMs),
+		zap.String("service", c.Endpoint.Service), zap.String("software", c.Endpoint.Software), zap.String("data_centre", c.Endpoint.DataCentre), zap.Int64("started_ms", c.Endpoint.StartedMs),
 		zap.Bool("said_itself", c.Kind == sched.ChangeLeaving && c.Endpoint.Revision == sched.RevisionUntilRestart),
 		zap.Uint64("revision", w.mirror.Position().Cursor), zap.Uint64("epoch", w.mirror.Position().Epoch))
 	if w.OnChange != nil {
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -80,6 +80,9 @@
 	}
 	defer c.cleanup()
 	c.blocks = s.Blame.Changed()
+	if in.Call.LastEventID != "" {
+		s.Log.Info("caller_resumes", zap.String("id", in.Call.ID), zap.String("service", in.Call.Service), zap.String("resumes", in.Call.Resumes), zap.String("after", in.Call.LastEventID))
+	}
 	c.startAttempt(ctx)
 	for {
 		result, done := c.handleNext(ctx)
@@ -190,7 +193,7 @@
 		return Result{}, false
 	}
 	c.s.Log.Info("stream_broken", zap.String("id", c.in.Call.ID), zap.String("endpoint", c.source.lease.Endpoint.ID),
-		zap.String("after", c.at.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), fingerprintField(c.in.Call), zap.Error(it.err))
+		zap.String("software", c.source.lease.Endpoint.Software), zap.String("after", c.at.lastID), zap.Int("events", c.sourceEvents), zap.Strings("prompt_parts", c.in.Call.PromptParts), fingerprintField(c.in.Call), zap.Error(it.err))
 	if !c.answering() {
 		c.s.recordCrash(c.in.Call, c.source.lease.Endpoint)
 	}
@@ -382,7 +385,7 @@
 	}
 	if c.at.begun {
 		c.s.Metrics.Resumes.Inc()
-		c.s.Log.Info("stream_resumed", zap.String("id", c.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID), zap.String("after", c.at.lastID))
+		c.s.Log.Info("stream_resumed", zap.String("id", c.in.Call.ID), zap.String("endpoint", src.lease.Endpoint.ID), zap.String("software", src.lease.Endpoint.Software), zap.String("after", c.at.lastID))
 	} else {
 		c.at = c.at.withBegin()
 		c.in.Sink.Begin(src.response)
