A gateway continues a stream only at the version that began it

Callers saw responses whose first events were of one version of the engines' software and whose rest was of another, with nothing to show it.

Cause: the version in the registry's entry was dropped, so that retries after a break and moves off a leaving engine went to any engine of the service.

Change: an endpoint has the version of its software. Once a caller has an event, the call may be placed only on endpoints of the version that wrote it; a move only on ones of its source's. Before the first event any will do.

--- a/internal/router/sched/choose.go
+++ b/internal/router/sched/choose.go
@@ -119,6 +119,8 @@
 		return false
 	case !e.graceUntil.IsZero() && now.After(e.graceUntil):
 		return false
+	case req.Software != "" && ep.Software != req.Software:
+		return false
 	case len(req.Regions) > 0 && !slices.Contains(req.Regions, ep.Region):
 		return false
 	case req.Purpose == PurposeMove && ep.Region != req.Source.Region:
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -132,6 +132,7 @@
 	EngineTokens          int      // KV cache capacity of one engine of the service in tokens, 0 for a plain service
 	MaxColdCallsPerSecond float64  // calls per second that all processes together may send to a cold endpoint, 0 for no limit
 	Exclude               []string // endpoint IDs that must not be used
+	Software              string   // version of the endpoint's software, any if empty
 	Purpose               Purpose
 	Source                endpt.Endpoint // for PurposeMove: the engine that currently runs the generation
 }
--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosalock/mimosalock/internal/call/desc"
-	"github.com/mimosalock/mimosalock/internal/conf/routes"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
@@ -30,8 +29,10 @@
 )
 
 // placementRequest returns what the call requires of an endpoint.
-func placementRequest(call *desc.Call, service routes.Service, exclude []string) sched.Request {
+func placementRequest(in Input, exclude []string) sched.Request {
+	call, service := in.Call, in.Service
 	req := sched.Request{
+		Software: in.Software,
 		Service: call.Service, Regions: call.Regions, Exclude: exclude, MaxColdCallsPerSecond: service.MaxColdCallsPerSecond,
 	}
 	if service.Engine != nil {
@@ -68,7 +69,7 @@
 
 func (s *Server) awaitPlace(ctx context.Context, in Input, exclude []string) (*sched.Lease, Reason) {
 	now := time.Now()
-	req := placementRequest(in.Call, in.Service, exclude)
+	req := placementRequest(in, exclude)
 	if s.Scheduler.Waiting(in.Call.Service) == 0 {
 		if lease, ok := s.Scheduler.TryPlace(now, req); ok {
 			return lease, ReasonNone
@@ -112,7 +113,7 @@
 	if reason := s.sendBarrier(in.Call); reason != ReasonNone {
 		return nil, reason
 	}
-	lease, ok := s.Scheduler.TryPlace(time.Now(), placementRequest(in.Call, in.Service, exclude))
+	lease, ok := s.Scheduler.TryPlace(time.Now(), placementRequest(in, exclude))
 	if !ok {
 		return nil, ReasonBusy
 	}
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -30,11 +30,11 @@
 	c.opPending = true
 	c.sends++
 	tried := append([]string(nil), c.tried...)
-	at := c.at
+	in, at := c.in, c.at
 	timeout := c.responseStartTimeout()
 	placed := make(chan string, 1)
 	go func() {
-		lease, reason := c.s.place(ctx, c.in, tried)
+		lease, reason := c.s.place(ctx, in, tried)
 		if lease == nil {
 			close(placed)
 			c.reports <- opReport{failReason: reason}
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -167,6 +167,7 @@
 	Body          []byte
 	CallerRequest any
 	Service       routes.Service
+	Software      string // version that began the stream and must go on with it, any if empty
 	Sink          Sink
 }
 
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -221,6 +221,7 @@
 	now := time.Now()
 	if c.sourceEvents == 1 {
 		c.sourceBegan = now
+		c.in.Software = c.source.lease.Endpoint.Software
 	}
 	c.recordTiming(now)
 	if c.proven(now) && now.Sub(c.answerRecorded) >= answerInterval {
