A stream that a caller takes up goes on at the version that began it

Callers whose streams had broken off, as their gateway was killed, got the rest from another version of the engines' software, with 200 and nothing to show it.

Cause: a gateway did not know what a stream began with unless it had served it itself, and did not read which call the caller named.

Change: a gateway remembers which version wrote a stream's first event, before the caller has that event. While several versions of a service have served within 20 s, it tells three other processes with the highest rendezvous scores for the call's ID, at once and every 2 s while the stream runs. One that does not know a stream that is taken up asks six, for at most 200 ms. Without an answer the only version that has served for 20 s is the one; a gateway that has just started reads the store's history of 16 s for that, once, when first needed. If that does not decide, the call is refused with 503 at once: it has not run, and the caller may begin anew. Nothing is stored, and workers and callers see nothing new.

Ruled out: telling all processes (5 KB/s each at the target size); a version computed from the ID (a release changes the choice within a stream's life, and full engines would need exceptions that somebody must know); asking engines what they run (they drop runs when the connection closes); the state of workers' entries alone (a version that has just left).

--- a/internal/fleet/watch/registry_test.go
+++ b/internal/fleet/watch/registry_test.go
@@ -121,6 +121,10 @@
 	return r.history[after:], r.revision(), nil
 }
 
+func (r *fakeRegistry) History(context.Context, uint64, uint64, int) ([]mirror.Item, error) {
+	return nil, ErrHistoryGone
+}
+
 func (r *fakeRegistry) FromPeer(_ context.Context, _ string, epoch, cursor uint64) (mirror.Delta, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -38,6 +38,9 @@
 	// fails with ErrHistoryGone if the registry no longer keeps the changes, and with
 	// ErrEpochChanged if the registry is in another epoch.
 	Watch(ctx context.Context, epoch, after uint64) ([]mirror.Item, uint64, error)
+	// History returns the changes of endpoints' entries of about the last while, oldest
+	// first. It fails with ErrHistoryGone if the registry keeps less.
+	History(ctx context.Context, epoch, revision uint64, entries int) ([]mirror.Item, error)
 	// FromPeer returns what a copy with the given epoch and cursor lacks of a peer's.
 	FromPeer(ctx context.Context, peer string, epoch, cursor uint64) (mirror.Delta, error)
 	// Decode returns the meaning of an item, nil if it has none for this process.
@@ -156,6 +159,8 @@
 	retryPause   time.Duration
 	graceUntil   time.Time // endpoints whose entries vanish before then may have expired
 
+	history history
+
 	applying sync.Mutex // held while changes of the copy are passed on, to keep their order
 	epochAt  time.Time  // when the copy entered its epoch, zero for the first one; guarded by applying
 	// heldEvacuations are the data centres that the registry lists as in service again only
--- a/internal/ops/metric/metric.go
+++ b/internal/ops/metric/metric.go
@@ -22,6 +22,7 @@
 	EarlyBreaks      prometheus.Counter       // responses of engines that broke off after the head and before the first event
 	PromptsBlocked   prometheus.Counter       // calls that were not sent, as engines crash under their prompt
 	CallsBlocked     prometheus.Counter       // calls that were not sent, as endpoints crash under them
+	CallerResumes    *prometheus.CounterVec   // streams that callers take up, by how the version that began them is known, none if it is not
 	LostSends        *prometheus.CounterVec   // sends that an endpoint broke off, by what became of it: down, up
 	LimitedEndpoints prometheus.Gauge         // endpoints that name a limit on their requests
 	Permits          *prometheus.CounterVec   // for calls to such endpoints, by event: asked, handed_out, used
@@ -55,6 +56,7 @@
 		EarlyBreaks:        counter("early_breaks_total", "Responses that engines broke off before the first event."),
 		PromptsBlocked:     counter("prompts_blocked_total", "Calls not sent because engines crash under a part of their prompt."),
 		CallsBlocked:       counter("calls_blocked_total", "Calls not sent because endpoints crash under them."),
+		CallerResumes:      counters("caller_resumes_total", "Streams that callers take up, by how the version that began them is known.", "known_from"),
 		LostSends:          counters("lost_sends_total", "Sends that an endpoint broke off, by what became of it.", "endpoint"),
 		LimitedEndpoints:   gauge("limited_endpoints", "Endpoints that name a limit on their requests a second."),
 		Permits:            counters("limit_permits_total", "Permits for calls to endpoints that name a limit, by event.", "event"),
@@ -72,7 +74,7 @@
 	}
 	m.Registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.CallsBlocked, m.LostSends, m.LimitedEndpoints, m.Permits, m.LimitedRefusals, m.AdmissionDecisions, m.Refusals,
+		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.CallsBlocked, m.CallerResumes, m.LostSends, m.LimitedEndpoints, m.Permits, m.LimitedRefusals, m.AdmissionDecisions, m.Refusals,
 		m.RunsEnded, m.RunsRunning, m.RunsWaiting, m.ConcurrencyLimit, m.BufferedBytes, m.FramesReceived, m.FirstToken, m.TokenGap,
 	)
 	return m
--- a/internal/router/peers/message.go
+++ b/internal/router/peers/message.go
@@ -26,6 +26,10 @@
 	// LimitsUnknown is the address of a process that has no answer, as it has just started too.
 	LimitsUnknown string `msgpack:"u,omitempty"`
 
+	Streams      *streamWord   `msgpack:"v,omitempty"`
+	StreamAsk    *streamAsk    `msgpack:"x,omitempty"`
+	StreamAnswer *streamAnswer `msgpack:"y,omitempty"`
+
 	Address     string                 `msgpack:"a,omitempty"` // of the sender, IP:port
 	Region      string                 `msgpack:"r,omitempty"`
 	Incarnation uint64                 `msgpack:"i,omitempty"`
@@ -62,7 +66,7 @@
 // Outgoing returns the packets that are due now. It is meant to be called periodically.
 func (g *Group) Outgoing(now time.Time) ([]Packet, error) {
 	var packets []Packet
-	for _, due := range []func(time.Time) ([]Packet, error){g.noticePackets, g.permitPackets, g.limitPackets, g.limitAskPackets, g.crashPackets, g.loadPackets, g.gossipPackets} {
+	for _, due := range []func(time.Time) ([]Packet, error){g.noticePackets, g.permitPackets, g.limitPackets, g.limitAskPackets, g.crashPackets, g.streamPackets, g.loadPackets, g.gossipPackets} {
 		next, err := due(now)
 		if err != nil {
 			return nil, fmt.Errorf("encode peer message: %w", err)
@@ -132,6 +136,12 @@
 		g.receiveLimitsUnknown(m.LimitsUnknown)
 	case m.Permits != nil:
 		g.receivePermits(now, m.Permits)
+	case m.Streams != nil:
+		g.receiveStreams(now, *m.Streams)
+	case m.StreamAsk != nil:
+		g.receiveStreamAsk(*m.StreamAsk)
+	case m.StreamAnswer != nil:
+		g.receiveStreamAnswer(*m.StreamAnswer)
 	case m.Query != nil:
 		g.answerQuery(*m.Query)
 	case m.Address != "" && m.Address != own && g.recordMessage(now, m):
--- a/internal/router/peers/peers.go
+++ b/internal/router/peers/peers.go
@@ -20,6 +20,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/fleet/mirror"
+	"github.com/mimosalock/mimosalock/internal/router/begun"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
@@ -67,8 +68,9 @@
 	Scheduler   *sched.Scheduler
 	Log         *zap.Logger
 	Registry    Registry
-	Blame       Blame  // nil: crashes are not exchanged
-	Limits      Limits // nil: no endpoint names a limit
+	Blame       Blame   // nil: crashes are not exchanged
+	Limits      Limits  // nil: no endpoint names a limit
+	Streams     Streams // nil: no streams are taken up
 }
 
 // Registry is this process's copy of the registry.
@@ -82,6 +84,14 @@
 	HearStep(s mirror.Step)
 }
 
+// Streams remembers which version of the software began each stream.
+type Streams interface {
+	TakeNews() []begun.Stream
+	Running() []begun.Stream
+	Put(now time.Time, key begun.Key, software string)
+	Find(key begun.Key) (software string, found bool)
+}
+
 // Group is this process's view of its peers. It is safe for concurrent use.
 type Group struct {
 	cfg     Config
@@ -101,6 +111,7 @@
 	loadAllowance  allowance
 
 	crashes crashReports
+	streams streamRounds
 
 	limits    limitRounds
 	limitAsks limitAsks
@@ -132,6 +143,7 @@
 	g.crashes.allowance = allowance{perSecond: crashBytesPerSecond, burst: crashBurst}
 	g.limits.allowance = allowance{perSecond: limitBytesPerSecond, burst: limitBurst}
 	g.limitAsks.unknown = map[string]bool{}
+	g.streams.waiting = map[begun.Key]*streamWait{}
 	g.limitAsks.allowance = allowance{perSecond: answerBytesPerSecond, burst: answerBurst}
 	g.permits.forgotten = map[string]forgottenPeer{}
 	g.permits.allowance = allowance{perSecond: permitBytesPerSecond, burst: permitBurst}
--- a/internal/router/peers/registry_test.go
+++ b/internal/router/peers/registry_test.go
@@ -438,3 +438,7 @@
 	}
 	return worst, oldest
 }
+
+func (p *process) History(context.Context, uint64, uint64, int) ([]mirror.Item, error) {
+	return nil, watch.ErrHistoryGone
+}
--- a/internal/router/sched/listing.go
+++ b/internal/router/sched/listing.go
@@ -42,6 +42,9 @@
 func (s *Scheduler) Put(now time.Time, ep endpt.Endpoint) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.followedSince.IsZero() {
+		s.followedSince = now
+	}
 	change := s.put(now, ep)
 	s.placeWaiting(now)
 	return change
@@ -57,6 +60,7 @@
 		return s.list(now, newState(ep))
 	case !e.endpoint.SameIncarnation(ep):
 		e.markLeaving(ep.Revision)
+		s.recordReplaced(now, e.endpoint)
 		return s.list(now, newState(ep))
 	case e.removed || e.relisted(ep):
 		e.endpoint = ep
--- a/internal/router/sched/sched.go
+++ b/internal/router/sched/sched.go
@@ -79,6 +79,11 @@
 	arrivals   uint64              // number of calls queued so far
 	words      *avail.Ledger       // what endpoints have said of themselves
 	holdUntil  time.Time           // of the newest epoch of the registry, see BeginEpoch
+	// followedSince is when this process learned of its first endpoint.
+	followedSince time.Time
+	// replacedSoftware holds by service the versions of endpoints that started anew under
+	// their IDs, and until when these versions count as serving.
+	replacedSoftware map[string]map[string]time.Time
 }
 
 type endpointState struct {
@@ -120,7 +125,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Int64
 	}
-	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, words: avail.New()}
+	return &Scheduler{cfg: cfg, endpoints: map[string]*endpointState{}, evacuated: map[string]bool{}, peers: map[string]peerLoad{}, peerTotals: map[Key]Load{}, words: avail.New(), replacedSoftware: map[string]map[string]time.Time{}}
 }
 
 // Request describes what a call requires of its endpoint.
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/routes"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
+	"github.com/mimosalock/mimosalock/internal/router/begun"
 	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/router/retry"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
@@ -220,6 +221,17 @@
 
 func (b *pipeBody) Close(bool) { _ = b.PipeReader.Close() }
 
+// fakeOrigins says which versions peers and the registry's history name, none if empty.
+type fakeOrigins struct{ peers, history string }
+
+func (o fakeOrigins) FindStream(context.Context, string, string) (string, bool) {
+	return o.peers, o.peers != ""
+}
+
+func (o fakeOrigins) OnlySoftware(context.Context, string) (string, bool) {
+	return o.history, o.history != ""
+}
+
 // fakeSink records the response.
 type fakeSink struct {
 	bytes.Buffer
@@ -253,7 +265,7 @@
 		h.scheduler.Put(time.Now(), endpt.Endpoint{ID: id, StartedMs: 1, Service: "s", Address: id + ":1", DataCentre: "a1", Region: "a", Slots: 4})
 	}
 	h.server = New(Deps{
-		Scheduler: h.scheduler, Blame: blame.New(), Upstream: h.fakeUpstream, Bodies: memlim.New(16 << 20), Metrics: metric.New(), Log: zap.NewNop(),
+		Scheduler: h.scheduler, Blame: blame.New(), Begun: begun.New(), Origins: fakeOrigins{}, Upstream: h.fakeUpstream, Bodies: memlim.New(16 << 20), Metrics: metric.New(), Log: zap.NewNop(),
 		Retries: retry.New(retry.Config{RetryRatio: 0.2, Allowance: 20, Window: 10 * time.Second, Processes: oneProcess}),
 	})
 	return h
--- a/internal/router/serve/place.go
+++ b/internal/router/serve/place.go
@@ -33,7 +33,7 @@
 	call, service := in.Call, in.Service
 	req := sched.Request{
 		Software: in.Software,
-		Service: call.Service, Regions: call.Regions, Exclude: exclude, MaxColdCallsPerSecond: service.MaxColdCallsPerSecond,
+		Service:  call.Service, Regions: call.Regions, Exclude: exclude, MaxColdCallsPerSecond: service.MaxColdCallsPerSecond,
 	}
 	if service.Engine != nil {
 		req.EngineTokens, req.PromptTokens = service.Engine.MemoryTokens, call.PromptTokens
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -22,6 +22,7 @@
 	"github.com/mimosalock/mimosalock/internal/conf/routes"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/ops/metric"
+	"github.com/mimosalock/mimosalock/internal/router/begun"
 	"github.com/mimosalock/mimosalock/internal/router/blame"
 	"github.com/mimosalock/mimosalock/internal/router/retry"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
@@ -108,17 +109,18 @@
 
 // Reasons in a Result.
 const (
-	ReasonNone          Reason = iota
-	ReasonNoEndpoint           // no endpoint may receive the call
-	ReasonBusy                 // no endpoint had free capacity in time
-	ReasonRefused              // the call was not sent, or the endpoint guaranteed that it did not run
-	ReasonLost                 // the endpoint or the connection to it failed
-	ReasonTimeout              // the deadline passed
-	ReasonCallerGone           // the caller disconnected
-	ReasonStopping             // the process stops
-	ReasonPromptBlocked        // engines crash under a part of the prompt
-	ReasonLimited              // all endpoints name limits that are used up
-	ReasonCallBlocked          // endpoints crash under this very call
+	ReasonNone           Reason = iota
+	ReasonNoEndpoint            // no endpoint may receive the call
+	ReasonBusy                  // no endpoint had free capacity in time
+	ReasonRefused               // the call was not sent, or the endpoint guaranteed that it did not run
+	ReasonLost                  // the endpoint or the connection to it failed
+	ReasonTimeout               // the deadline passed
+	ReasonCallerGone            // the caller disconnected
+	ReasonStopping              // the process stops
+	ReasonPromptBlocked         // engines crash under a part of the prompt
+	ReasonLimited               // all endpoints name limits that are used up
+	ReasonCallBlocked           // endpoints crash under this very call
+	ReasonUnknownVersion        // nobody knows which version of the software began the stream that the caller takes up
 )
 
 // ErrStopping is the cause of a context that ends because the process stops.
@@ -126,7 +128,7 @@
 
 // String returns the name used in logs.
 func (r Reason) String() string {
-	return [...]string{"none", "no_endpoint", "busy", "refused", "lost", "timeout", "caller_gone", "stopping", "prompt_blocked", "limited", "call_blocked"}[r]
+	return [...]string{"none", "no_endpoint", "busy", "refused", "lost", "timeout", "caller_gone", "stopping", "prompt_blocked", "limited", "call_blocked", "unknown_version"}[r]
 }
 
 // isBlock reports whether the call must not be sent to any endpoint, as they crash under it.
@@ -137,6 +139,8 @@
 	Scheduler *sched.Scheduler
 	Retries   *retry.Budget
 	Blame     *blame.Ledger
+	Begun     *begun.Ledger
+	Origins   Origins
 	Upstream  Upstream
 	Bodies    *memlim.Budget // memory for endpoints' responses that are read as a whole
 	Metrics   *metric.Set
@@ -238,7 +242,7 @@
 		return blockedRetryAfter
 	case reason == ReasonBusy:
 		return busyRetryAfter + time.Duration(s.Scheduler.Waiting(call.Service))*busyRetryPerWaiting
-	case reason == ReasonNoEndpoint:
+	case reason == ReasonNoEndpoint, reason == ReasonUnknownVersion:
 		return noEndpointRetryAfter
 	}
 	return refusedRetryAfter
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/router/begun"
 )
 
 const (
@@ -81,7 +82,11 @@
 	defer c.cleanup()
 	c.blocks = s.Blame.Changed()
 	if in.Call.LastEventID != "" {
-		s.Log.Info("caller_resumes", zap.String("id", in.Call.ID), zap.String("service", in.Call.Service), zap.String("resumes", in.Call.Resumes), zap.String("after", in.Call.LastEventID))
+		software, known := s.beginningOf(ctx, in.Call)
+		if !known {
+			return c.finalResult(ReasonUnknownVersion)
+		}
+		c.in.Software = software
 	}
 	c.startAttempt(ctx)
 	for {
@@ -98,6 +103,9 @@
 func (c *streamCall) cleanup() {
 	c.stallTimer.Stop()
 	c.holdTimer.Stop()
+	for _, id := range c.streamIDs() {
+		c.s.Begun.End(begun.KeyOf(id))
+	}
 	if c.source != nil {
 		c.source.close(time.Now(), outcomeNone)
 	}
@@ -215,14 +223,15 @@
 // forward sends an event to the caller.
 func (c *streamCall) forward(it streamItem) (Result, bool) {
 	c.sourceEvents++
+	if c.sourceEvents == 1 {
+		c.sourceBegan = time.Now()
+		c.in.Software = c.source.lease.Endpoint.Software
+		c.recordBeginning(c.sourceBegan) // before the caller has the event and may take the stream up elsewhere
+	}
 	if err := c.in.Sink.Write(it.raw); err != nil {
 		return c.finalResult(ReasonCallerGone), true
 	}
 	now := time.Now()
-	if c.sourceEvents == 1 {
-		c.sourceBegan = now
-		c.in.Software = c.source.lease.Endpoint.Software
-	}
 	c.recordTiming(now)
 	if c.proven(now) && now.Sub(c.answerRecorded) >= answerInterval {
 		c.answerRecorded = now
