Entry with agent: an odd row of the host list costs only that row

Rows are decoded one by one, and what is nested too deeply for a row is null. A row without a name is left out: host_row_invalid.

--- a/internal/fleet/hosts/hosts.go
+++ b/internal/fleet/hosts/hosts.go
@@ -32,9 +32,9 @@
 }
 
 type hostList struct {
-	Epoch    uint64    `json:"epoch"`
-	Revision uint64    `json:"revision"`
-	Hosts    []hostRow `json:"hosts"`
+	Epoch    uint64            `json:"epoch"`
+	Revision uint64            `json:"revision"`
+	Hosts    []json.RawMessage `json:"hosts"` // each a hostRow
 }
 
 type hostRow struct {
@@ -95,15 +95,20 @@
 
 func (w *Watcher) applyResponse(body []byte) (roster.Version, error) {
 	var l hostList
-	if err := json.Unmarshal(body, &l); err != nil {
+	if err := json.Unmarshal(prune(body), &l); err != nil {
 		return roster.Version{}, fmt.Errorf("host list: decode response of %d bytes: %w", len(body), err)
 	}
 	v := roster.Version{Epoch: l.Epoch, Revision: l.Revision}
-	w.roster.Update(v, lo.Map(l.Hosts, func(h hostRow, _ int) roster.Member {
+	w.roster.Update(v, lo.FilterMap(l.Hosts, func(raw json.RawMessage, _ int) (roster.Member, bool) {
+		var h hostRow
+		if err := json.Unmarshal(raw, &h); err != nil || h.Host == "" {
+			w.log.Warn("host_row_invalid", zap.Uint64("revision", l.Revision), zap.Error(err))
+			return roster.Member{}, false
+		}
 		return roster.Member{
 			Host: h.Host, DataCentre: h.DataCentre, Role: roster.Role(h.Role), Service: h.Service,
 			Address: h.Address, Leaving: h.State == "leaving",
-		}
+		}, true
 	}))
 	return v, nil
 }
