Peers are told which version begins a stream when it is sent

A gateway tells the version when it sends the call, some hundred ms before the first event, and again if another version has written that event; the newest word counts.

--- a/internal/router/begun/begun.go
+++ b/internal/router/begun/begun.go
@@ -45,11 +45,14 @@
 // New returns an empty ledger.
 func New() *Ledger { return &Ledger{recent: map[Key]string{}, running: map[Key]Stream{}} }
 
-// Begin records that an event of a stream of this process is about to reach its caller.
+// Begin records which version is about to begin a stream of this process, or has begun it.
 func (l *Ledger) Begin(now time.Time, s Stream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.put(now, s.Key, s.Software)
+	if l.running[s.Key] == s {
+		return
+	}
 	l.running[s.Key] = s
 	if len(l.news) < maxNews {
 		l.news = append(l.news, s)
@@ -63,14 +66,13 @@
 	delete(l.running, key)
 }
 
-// Put records what a peer says of a stream. What is known of it stays.
+// Put records the newest word of a peer about a stream, unless the stream is running here.
 func (l *Ledger) Put(now time.Time, key Key, software string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known, ok := l.find(key); ok {
-		software = known
+	if _, running := l.running[key]; !running {
+		l.put(now, key, software)
 	}
-	l.put(now, key, software)
 }
 
 // Find returns the version that began a stream.
--- a/internal/router/serve/resume.go
+++ b/internal/router/serve/resume.go
@@ -48,18 +48,19 @@
 	return software, known
 }
 
-// recordBeginning remembers the version of the software that wrote a stream's first event here,
-// for callers that take it up.
-func (c *streamCall) recordBeginning(now time.Time) {
-	for _, id := range c.streamIDs() {
-		c.s.Begun.Begin(now, begun.Stream{Key: begun.KeyOf(id), Service: c.in.Call.Service, Software: c.in.Software})
+// recordBeginning remembers which version of the software writes the first event of a call's
+// stream, for callers that take it up: when the call is sent, so that peers know by the time the
+// event arrives, and again if another version has written it.
+func (s *Server) recordBeginning(call *desc.Call, software string) {
+	for _, id := range streamIDs(call) {
+		s.Begun.Begin(time.Now(), begun.Stream{Key: begun.KeyOf(id), Service: call.Service, Software: software})
 	}
 }
 
-// streamIDs returns the IDs of the calls by which callers may name the stream.
-func (c *streamCall) streamIDs() []string {
-	if c.in.Call.Resumes == "" || c.in.Call.LastEventID == "" {
-		return []string{c.in.Call.ID}
+// streamIDs returns the IDs of the calls by which callers may name the call's stream.
+func streamIDs(call *desc.Call) []string {
+	if call.Resumes == "" || call.LastEventID == "" {
+		return []string{call.ID}
 	}
-	return []string{c.in.Call.ID, c.in.Call.Resumes}
+	return []string{call.ID, call.Resumes}
 }
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -40,6 +40,9 @@
 			c.reports <- opReport{failReason: reason}
 			return
 		}
+		if in.Software == "" {
+			c.s.recordBeginning(in.Call, lease.Endpoint.Software)
+		}
 		placed <- lease.Endpoint.ID
 		src, a := c.s.open(ctx, lease, c.sendRequest(at.lastID, nil), at, timeout)
 		c.reports <- opReport{source: src, attempt: a}
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -103,7 +103,7 @@
 func (c *streamCall) cleanup() {
 	c.stallTimer.Stop()
 	c.holdTimer.Stop()
-	for _, id := range c.streamIDs() {
+	for _, id := range streamIDs(c.in.Call) {
 		c.s.Begun.End(begun.KeyOf(id))
 	}
 	if c.source != nil {
@@ -226,7 +226,7 @@
 	if c.sourceEvents == 1 {
 		c.sourceBegan = time.Now()
 		c.in.Software = c.source.lease.Endpoint.Software
-		c.recordBeginning(c.sourceBegan) // before the caller has the event and may take the stream up elsewhere
+		c.s.recordBeginning(c.in.Call, c.in.Software) // before the caller has the event and may take the stream up elsewhere
 	}
 	if err := c.in.Sink.Write(it.raw); err != nil {
 		return c.finalResult(ReasonCallerGone), true
