--- a/internal/router/peers/streams.go
+++ b/internal/router/peers/streams.go
@@ -111,8 +111,8 @@
 }
 
 // result returns what the answers say, and whether to wait for no more of them. One process
-// that knows the stream decides; otherwise one that has seen a single version for long does,
-// if no other has seen another one.
+// that knows the stream decides; otherwise those that have seen a single version for long do,
+// if they agree.
 func (w *streamWait) result(late bool) (software string, known, over bool) {
 	var only []string
 	for _, a := range w.answers {
--- a/internal/router/peers/streams_test.go
+++ b/internal/router/peers/streams_test.go
@@ -110,6 +110,7 @@
 	}
 	forFleets(t, func(t *testing.T, processes int) {
 		f := newStreamFleet(t, processes, "v1", "v2")
+		f.expectTraffic(t, "without streams", func() { f.run(t, 4*time.Second) })
 		f.expectTraffic(t, "while streams begin", func() { f.beginStreams(t, 4*time.Second) })
 		newest := min(f.begun, 200)
 		ended := 0
