--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	running map[string]*stream // by attempt ID
 	copies  map[string]int     // events made, by handle of a copy that was moved here
+	last    *Engine            // the target of the last move that was asked for
 }
 
 // stream is one running stream.
@@ -42,6 +43,13 @@
 	return w
 }
 
+// Target returns the engine that the last move was to go to, nil if there was none.
+func (e *Engine) Target() *Engine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.last
+}
+
 // Running returns the number of running streams.
 func (e *Engine) Running() int {
 	e.mu.Lock()
@@ -126,6 +134,7 @@
 	target := e.Find(m.To)
 	e.mu.Lock()
 	s := e.running[m.ID]
+	e.last = target
 	e.mu.Unlock()
 	switch {
 	case s == nil:
@@ -142,7 +151,7 @@
 	e.copying.Lock()
 	took := e.CopyTime
 	if s.copied {
-		took /= 10
+		took /= 100
 	}
 	time.Sleep(took)
 	s.copied = true
