--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -36,6 +38,9 @@
 
 	dir  string
 	port int // of callers; the next ones follow
+
+	mu      sync.Mutex
+	started []*Gateway
 }
 
 // portsPerMachine are those of callers, of readiness, of the control plane, and two between nodes.
@@ -48,6 +53,7 @@
 		return err
 	}
 	s.dir = dir
+	go s.awaitSignal()
 	for range 50 {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -63,6 +69,19 @@
 	return errors.New("no free ports")
 }
 
+// awaitSignal ends all gateways if the script is to end early.
+func (s *Site) awaitSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	s.mu.Lock() // for good: no other gateway starts
+	for _, g := range s.started {
+		_ = g.cmd.Process.Kill()
+	}
+	s.Remove()
+	os.Exit(ExitNotRun)
+}
+
 // Remove deletes the temporary folder.
 func (s *Site) Remove() { _ = os.RemoveAll(s.dir) }
 
@@ -156,9 +175,12 @@
 	g.cmd = exec.Command(program)
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "MIMOSALOCK_SETTINGS=" + path}
 	g.cmd.Stdout, g.cmd.Stderr = log, log
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := g.cmd.Start(); err != nil {
 		return nil, err
 	}
+	s.started = append(s.started, g)
 	s.Record.Printf("%s starts (process %d)", m.Name, g.cmd.Process.Pid)
 	go func() {
 		_ = g.cmd.Wait()
