--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	workers = 7
-	// failShare of the requests of one worker of seven fail for failFor, within what the site
+	workers = 8
+	// failShare of the requests of one worker of eight fail for failFor, within what the site
 	// files allow for srv_grey: share 0.14, x 0.45, for 6.5 s.
 	failShare = 0.45
 	failFor   = 6500 * time.Millisecond
