Log answers of the registry that a peer's copy has overtaken

Two explanations could not be told apart by the logs: a peer's copy that was old and said so wrongly, or a copy that had been complete and went back. Nothing was logged when an answer of the registry arrived after a peer had brought newer changes.

registry_answer_overtaken names the revision asked after, that of the answer and those of the copy.

--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -87,16 +87,29 @@
 		return err
 	}
 	w.recordSuccess(now, before)
+	w.logOvertaken(now, before, cursor, len(items))
 	w.apply(func() []mirror.Item { return w.mirror.Apply(items, w.positionAt(before.Epoch, cursor, now)) })
 	return nil
 }
 
+// logOvertaken logs that a peer's copy brought newer changes while the registry was read.
+func (w *Watcher) logOvertaken(began time.Time, before mirror.Position, cursor uint64, items int) {
+	if p := w.mirror.Position(); p.Version() != before.Version() {
+		w.Log.Info("registry_answer_overtaken", zap.Uint64("asked_after", before.Cursor), zap.Uint64("answer_revision", cursor), zap.Int("items", items),
+			zap.Uint64("epoch", p.Epoch), zap.Uint64("state", p.State), zap.Uint64("revision", p.Cursor), zap.Duration("took", time.Since(began)))
+	}
+}
+
 func (w *Watcher) list(ctx context.Context, now time.Time) error {
 	items, epoch, cursor, err := w.Source.List(ctx)
 	if err != nil {
 		return err
 	}
-	w.recordSuccess(now, w.mirror.Position())
+	before := w.mirror.Position()
+	w.recordSuccess(now, before)
+	if epoch == before.Epoch && cursor < before.Cursor {
+		w.logOvertaken(now, mirror.Position{}, cursor, len(items))
+	}
 	w.apply(func() []mirror.Item { return w.mirror.Replace(items, w.positionAt(epoch, cursor, now)) })
 	return nil
 }
