A stream that may run once is not sent again after a worker's own failure

Cause: recordFailedSend noted a failed response with WithLost alone, which says nothing of an attempt that was not recorded as an offer; the call's state then allowed another.

Change: mayHaveRun decides for all verdicts and for streams and single responses alike: an attempt may have run unless it was refused or not sent.

--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -346,6 +346,9 @@
 
 // recordFailedSend updates the call's state after a failed attempt.
 func (c *streamCall) recordFailedSend(a attempt) {
+	if a.mayHaveRun() && !c.at.begun {
+		c.state = c.state.WithOffer().WithLost()
+	}
 	switch a.verdict {
 	case verdictNotRun:
 		c.reason = ReasonRefused
@@ -357,13 +360,7 @@
 	case verdictFailed:
 		c.whole = &a
 		c.reason = ReasonLost
-		c.state = c.state.WithLost()
-	case verdictLost:
-		c.reason = ReasonLost
-		if !c.at.begun {
-			c.state = c.state.WithOffer().WithLost()
-		}
-	case verdictUnfit:
+	case verdictLost, verdictUnfit:
 		c.reason = ReasonLost
 	case verdictGood:
 	}
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -138,15 +138,18 @@
 	if a.crashed {
 		u.crashes++
 	}
-	switch a.verdict {
-	case verdictGood:
+	if a.verdict == verdictGood {
 		return u.deliver(a), true
+	}
+	if a.mayHaveRun() {
+		u.state = u.state.WithOffer().WithLost()
+	}
+	switch a.verdict {
 	case verdictFailed:
 		if u.failed == nil {
 			u.failed = &a
 		}
 	case verdictLost:
-		u.state = u.state.WithOffer().WithLost()
 		u.reason = ReasonLost
 	case verdictNotRun:
 		u.reason = ReasonRefused
@@ -206,7 +209,7 @@
 			u.state = u.state.WithOffer().WithLost()
 		}
 	}
-	if u.failed == nil && u.state.Outcome() == callst.OutcomeNotRun {
+	if u.state.Outcome() == callst.OutcomeNotRun {
 		return u.notRunResult(reason)
 	}
 	return Result{Outcome: callst.OutcomeUnknown, Reason: reason}
@@ -291,6 +294,10 @@
 	return errors.As(err, &sendErr) && sendErr.Kind == httpc.KindUnsent
 }
 
+// mayHaveRun reports whether the endpoint may have begun to work on the call. Only a refusal
+// that says so, or a request that was not sent, rules it out.
+func (a attempt) mayHaveRun() bool { return a.verdict != verdictNotRun }
+
 // notReached reports whether the call never reached the endpoint it was addressed to.
 func (a attempt) notReached() bool { return unsent(a.err) || a.misdirected() }
 
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -20,6 +20,7 @@
 	runs     map[string]int
 	delay    time.Duration
 	breakAt  BreakPoint
+	response string // raw, instead of its own
 	listener net.Listener
 }
 
@@ -78,6 +79,14 @@
 	s.mu.Unlock()
 }
 
+// SetRawResponse makes the worker run every further call, write these bytes as the response and
+// close the connection. With an empty string it responds as usual.
+func (s *Server) SetRawResponse(response string) {
+	s.mu.Lock()
+	s.response = response
+	s.mu.Unlock()
+}
+
 type echo struct {
 	Method string `json:"method"`
 	Path   string `json:"path"`
@@ -88,13 +97,14 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	call := string(ctx.Request.Header.Peek("X-Call"))
 	s.mu.Lock()
-	delay, at := s.delay, s.breakAt
+	delay, at, response := s.delay, s.breakAt, s.response
 	if at != BreakBeforeRun {
 		s.runs[call]++
 	}
 	s.mu.Unlock()
 	time.Sleep(delay)
-	if at != BreakNever {
+	if at != BreakNever || response != "" {
+		_, _ = io.WriteString(ctx.Conn(), response)
 		_ = ctx.Conn().Close()
 		return
 	}
--- a/internal/tool/local/norepeat_test.go
+++ b/internal/tool/local/norepeat_test.go
@@ -127,6 +127,43 @@
 	})
 }
 
+// Guards against a booking that runs again, or is reported as not_run, after any response of a
+// worker that has run it, failures and refusals that it does not mean included.
+func TestNoRepeatWhateverTheResponse(t *testing.T) {
+	response := func(status int, headers string) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: 2\r\n\r\nno", status, headers)
+	}
+	whole := response(200, "")
+	for name, raw := range map[string]string{
+		"500":                       response(500, ""),
+		"502 without a length":      "HTTP/1.1 502 X\r\n\r\nno",
+		"503":                       response(503, ""),
+		"503 that wants no calls":   response(503, "Retry-After: 1\r\n"),
+		"504":                       response(504, ""),
+		"429":                       response(429, ""),
+		"408":                       response(408, ""),
+		"421":                       response(421, ""),
+		"cut in its status line":    whole[:9],
+		"cut in its head":           whole[:len(whole)-8],
+		"cut after its head":        whole[:len(whole)-2],
+		"cut in its body":           whole[:len(whole)-1],
+		"no answer in the protocol": "no answer\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, local.Options{Entries: 1, PlainWorkers: 2})
+			for _, p := range r.PlainAgents() {
+				p.Plain.SetRawResponse(raw)
+			}
+			res := client.New(local.Key).Call(testContext(t), r.Entries()[0].CallerAddr, "POST", bookingPath, "", "b", nil)
+			expectConsistent(t, r, "b", res)
+			if ran := runs(r, "b"); ran != 1 {
+				t.Errorf("the call ran %d times, want 1; outcome %q", ran, res.Outcome)
+			}
+		})
+	}
+}
+
 // shortHorizon sets a key horizon of 2 s. An agent runs a key that it has not seen
 // only once it has been up for the horizon, since a predecessor may have run the key.
 func shortHorizon(f *spec.File) { f.Services[1].KeyHorizonSecs = 2 }
