A silent endpoint is given up only for another one that is reserved

Cause: handleStall closed the source if the kind of call and the retry budget allowed a resume, and only then looked whether the route's attempts and another endpoint did. The same without a planned stop, and before the response: the send of a resumable stream was cancelled after 1.5 times the target. Evidence: stream_silent, then no_place with usable_endpoints=0 and the interrupted call within one millisecond, no call_cut; in the postmortem. Ruled out: the stop itself, and time limits of connections.

Change: another endpoint is reserved, with its retry, before the silent one is ended; it gets the call. Until there is one the silent one is waited for, and another one looked for every 200 ms, or in the queue as long as a new call would wait there. stream_silent names decision and reason; silent_endpoints_total counts them.

--- a/internal/ops/metric/metric.go
+++ b/internal/ops/metric/metric.go
@@ -18,6 +18,7 @@
 	RouteDuration    prometheus.Histogram     // from the request to the accepted offer
 	CrossRegionBytes prometheus.Counter       // bytes of responses relayed from another region
 	Handovers        *prometheus.CounterVec   // moves of generations, by result: moved, failed
+	SilentEndpoints  *prometheus.CounterVec   // of streams, by decision: waits, given_up
 	LogDropped       prometheus.Counter       // dropped log lines
 	EarlyBreaks      prometheus.Counter       // responses of engines that broke off after the head and before the first event
 	PromptsBlocked   prometheus.Counter       // calls that were not sent, as engines crash under their prompt
@@ -52,6 +53,7 @@
 		RouteDuration:      histogram("route_seconds", "Time from request to an accepted offer."),
 		CrossRegionBytes:   counter("cross_region_bytes_total", "Answer bytes relayed from another region."),
 		Handovers:          counters("handovers_total", "Moves of running generations to another engine, by result.", "result"),
+		SilentEndpoints:    counters("silent_endpoints_total", "Streams whose endpoint was silent for too long, by decision.", "decision"),
 		LogDropped:         counter("log_lines_dropped_total", "Log lines left out by sampling or a slow reader."),
 		EarlyBreaks:        counter("early_breaks_total", "Responses that engines broke off before the first event."),
 		PromptsBlocked:     counter("prompts_blocked_total", "Calls not sent because engines crash under a part of their prompt."),
@@ -74,7 +76,7 @@
 	}
 	m.Registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.CallsBlocked, m.CallerResumes, m.LostSends, m.LimitedEndpoints, m.Permits, m.LimitedRefusals, m.AdmissionDecisions, m.Refusals,
+		m.Outcomes, m.Attempts, m.Retries, m.Resumes, m.CallDuration, m.RouteDuration, m.CrossRegionBytes, m.Handovers, m.SilentEndpoints, m.LogDropped, m.EarlyBreaks, m.PromptsBlocked, m.CallsBlocked, m.CallerResumes, m.LostSends, m.LimitedEndpoints, m.Permits, m.LimitedRefusals, m.AdmissionDecisions, m.Refusals,
 		m.RunsEnded, m.RunsRunning, m.RunsWaiting, m.ConcurrencyLimit, m.BufferedBytes, m.FramesReceived, m.FirstToken, m.TokenGap,
 	)
 	return m
--- a/internal/router/serve/send.go
+++ b/internal/router/serve/send.go
@@ -27,36 +27,39 @@
 // startAttempt sends the stream to an endpoint that was not tried yet. It returns
 // once one is reserved or none was found. The outcome arrives on c.reports.
 func (c *streamCall) startAttempt(ctx context.Context) {
+	lease, reason := c.s.place(ctx, c.in, c.tried)
+	if lease == nil {
+		c.opPending = true
+		c.reports <- opReport{failReason: reason}
+		return
+	}
+	c.sendTo(ctx, lease)
+}
+
+// sendTo sends the stream to a reserved endpoint. The outcome arrives on c.reports.
+func (c *streamCall) sendTo(ctx context.Context, lease *sched.Lease) {
 	c.opPending = true
 	c.sends++
-	tried := append([]string(nil), c.tried...)
-	in, at := c.in, c.at
-	timeout := c.responseStartTimeout()
-	placed := make(chan string, 1)
+	c.tried = append(c.tried, lease.Endpoint.ID)
+	if c.in.Software == "" {
+		c.s.recordBeginning(c.in.Call, lease.Endpoint.Software)
+	}
+	givenUp, giveUp := context.WithCancel(ctx)
+	if timeout := c.responseStartTimeout(); timeout > 0 {
+		c.giveUpSend, c.silenceLogged = giveUp, false
+		c.stallTimer.Reset(timeout)
+	}
+	at, request := c.at, c.sendRequest(c.at.lastID, nil)
 	go func() {
-		lease, reason := c.s.place(ctx, in, tried)
-		if lease == nil {
-			close(placed)
-			c.reports <- opReport{failReason: reason}
-			return
-		}
-		if in.Software == "" {
-			c.s.recordBeginning(in.Call, lease.Endpoint.Software)
-		}
-		placed <- lease.Endpoint.ID
-		src, a := c.s.open(ctx, lease, c.sendRequest(at.lastID, nil), at, timeout)
+		defer giveUp()
+		src, a := c.s.open(ctx, givenUp, lease, request, at)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
-	if id, ok := <-placed; ok {
-		c.tried = append(c.tried, id)
-		return
-	}
-	c.sends--
 }
 
-// responseStartTimeout returns how long an endpoint may take to begin its response, 0 for
-// no limit. The limit applies only to a stream that may run again and has attempts
-// left.
+// responseStartTimeout returns how long an endpoint may take to begin its response before
+// another one is looked for, 0 for no limit. The limit applies only to a stream that may run
+// again and has attempts left.
 func (c *streamCall) responseStartTimeout() time.Duration {
 	if c.in.Call.Kind != desc.KindResumableStream || c.sends >= max(1, c.in.Call.MaxAttempts) {
 		return 0
@@ -110,7 +113,7 @@
 			c.reports <- opReport{failReason: reason}
 			return
 		}
-		src, a := c.s.open(ctx, target, c.sendRequest(at.lastID, &cache), at, 0)
+		src, a := c.s.open(ctx, context.Background(), target, c.sendRequest(at.lastID, &cache), at)
 		c.reports <- opReport{source: src, attempt: a}
 	}()
 }
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -34,12 +34,10 @@
 
 // open sends the request and returns the response as a source, nil if the attempt failed
 // or the response is no event stream. The stream goes on from a position. The request is
-// cancelled if the response has not begun within the timeout, 0 for no limit.
-func (s *Server) open(caller context.Context, lease *sched.Lease, req SendRequest, at position, timeout time.Duration) (*source, attempt) {
+// cancelled if givenUp ends before the response begins.
+func (s *Server) open(caller, givenUp context.Context, lease *sched.Lease, req SendRequest, at position) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
-	if timeout > 0 {
-		defer time.AfterFunc(timeout, cancel).Stop()
-	}
+	defer context.AfterFunc(givenUp, cancel)()
 	a := attempt{lease: lease}
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
 	a.verdict = at.classify(a.response, a.err)
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -12,13 +12,7 @@
 	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
 	"github.com/mimosalock/mimosalock/internal/router/begun"
-)
-
-const (
-	// stallGapFactor times the target between events is how long a source may send
-	// none before the stream is resumed elsewhere.
-	stallGapFactor  = 5
-	minStallTimeout = 900 * time.Millisecond // lower limit, and the timeout of routes without a target
+	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
 // streamCall is the state of one streaming call. Only its event loop accesses the
@@ -28,23 +22,28 @@
 	s              *Server
 	in             Input
 	state          callst.Call
-	tried          []string        // IDs of the endpoints that were chosen
-	sends          int             // attempts that may have reached an endpoint, without resumes from a copy
-	source         *source         // the current one, nil before the first and after a loss
-	sourceEvents   int             // of the current source, sent to the caller
-	sourceBegan    time.Time       // when the first of them arrived
-	reports        chan opReport   // outcomes of sends and moves
-	opPending      bool            // a send or a move is in progress
-	movedCopy      *remoteCopy     // the complete copy made when the current source was stopped, nil if none
-	spareCopy      *remoteCopy     // the partial copy made before a move of the current source failed, nil if none
-	finalMoveSent  atomic.Bool     // a final move was requested, which stops the current source
-	maybeStopped   bool            // a final move failed: the current source may have been stopped
-	sourceEnded    bool            // the last source ended normally while its final move was in progress
-	at             position        // how far the caller has received the response
-	failedTargets  []string        // IDs of engines that the KV cache could not be copied to
-	answerRecorded time.Time       // when its prompt was last recorded as answered
-	blocks         <-chan struct{} // closed when more is blocked
-	crashes        int             // of endpoints, under the call
+	tried          []string          // IDs of the endpoints that were chosen
+	sends          int               // attempts that may have reached an endpoint, without resumes from a copy
+	source         *source           // the current one, nil before the first and after a loss
+	sourceEvents   int               // of the current source, sent to the caller
+	sourceBegan    time.Time         // when the first of them arrived
+	reports        chan opReport     // outcomes of sends and moves
+	opPending      bool              // a send or a move is in progress
+	movedCopy      *remoteCopy       // the complete copy made when the current source was stopped, nil if none
+	spareCopy      *remoteCopy       // the partial copy made before a move of the current source failed, nil if none
+	finalMoveSent  atomic.Bool       // a final move was requested, which stops the current source
+	maybeStopped   bool              // a final move failed: the current source may have been stopped
+	sourceEnded    bool              // the last source ended normally while its final move was in progress
+	at             position          // how far the caller has received the response
+	failedTargets  []string          // IDs of engines that the KV cache could not be copied to
+	answerRecorded time.Time         // when its prompt was last recorded as answered
+	blocks         <-chan struct{}   // closed when more is blocked
+	crashes        int               // of endpoints, under the call
+	successor      *sched.Lease      // reserved for the next send, while a silent endpoint is given up; nil otherwise
+	giveUpSend     func()            // ends the send in progress, nil if it must not be
+	found          chan *sched.Lease // result of the wait for another endpoint
+	stopSeeking    func()            // ends that wait, nil if none is in progress
+	silenceLogged  bool              // that the endpoint is silent, and why it is waited for
 	stallTimer     *time.Timer
 	holdTimer      *time.Timer // ends moveOnHold
 	moveOnHold     bool        // no move is started for now, even if its endpoint is leaving
@@ -76,7 +75,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &streamCall{
-		s: s, in: in, state: callst.New(in.Call.Kind.Repeatable()), reports: make(chan opReport, 1),
+		s: s, in: in, state: callst.New(in.Call.Kind.Repeatable()), reports: make(chan opReport, 1), found: make(chan *sched.Lease, 1),
 		at: newPosition(in.Call.LastEventID), stallTimer: time.NewTimer(time.Hour), holdTimer: time.NewTimer(time.Hour),
 	}
 	defer c.cleanup()
@@ -109,6 +108,7 @@
 	if c.source != nil {
 		c.source.close(time.Now(), outcomeNone)
 	}
+	c.endSearch()
 	c.s.discardCopy(c.movedCopy)
 	c.s.discardCopy(c.spareCopy)
 	if c.opPending {
@@ -140,7 +140,7 @@
 	case <-leaving:
 		c.startMove(ctx, "leaving")
 	case o := <-c.reports:
-		c.opPending = false
+		c.opPending, c.giveUpSend = false, nil
 		return c.handleReport(ctx, o)
 	case <-c.blocks:
 		c.blocks = c.s.Blame.Changed()
@@ -154,6 +154,8 @@
 		c.moveOnHold = false
 	case <-c.stallTimer.C:
 		return c.handleStall(ctx)
+	case lease := <-c.found:
+		return c.handleFound(ctx, lease)
 	case <-ctx.Done():
 		return c.endedResult(doneReason(ctx)), true
 	}
@@ -263,33 +265,6 @@
 	c.lastEventAt = now
 }
 
-// resetStallTimer restarts the timer that detects a source without events.
-func (c *streamCall) resetStallTimer() {
-	c.stallTimer.Reset(max(minStallTimeout, stallGapFactor*c.in.Call.EventGapTarget))
-}
-
-// handleStall handles a source that has sent no event for too long.
-func (c *streamCall) handleStall(ctx context.Context) (Result, bool) {
-	if c.movedCopy != nil && c.source != nil { // stopped by a move, but the connection did not close
-		c.source.close(time.Now(), outcomeNone)
-		c.source = nil
-		c.resumeFromCopy(ctx, c.movedCopy)
-		return Result{}, false
-	}
-	if c.opPending || c.source == nil {
-		c.resetStallTimer()
-		return Result{}, false
-	}
-	c.s.Log.Info("stream_silent", zap.String("id", c.in.Call.ID), zap.String("endpoint", c.source.lease.Endpoint.ID),
-		zap.String("after", c.at.lastID))
-	resumable := c.in.Call.Kind == desc.KindResumableStream || c.spareCopy != nil
-	if !resumable || c.at.unknown || !c.s.Retries.CanRetry(time.Now(), c.in.Call.Service) {
-		c.resetStallTimer()
-		return Result{}, false // the stream cannot be resumed elsewhere, so wait for the endpoint
-	}
-	return c.loseSource(ctx, outcomeFailed)
-}
-
 // handleReport handles the outcome of a send or a move.
 func (c *streamCall) handleReport(ctx context.Context, o opReport) (Result, bool) {
 	switch {
@@ -369,15 +344,16 @@
 // retry sends a stream without a source to another endpoint. It returns false if
 // that is not allowed.
 func (c *streamCall) retry(ctx context.Context, o opReport) bool {
-	call := c.in.Call
-	if o.failReason != ReasonNone || o.attempt.verdict == verdictWhole || ctx.Err() != nil || len(c.tried) >= maxEndpointsTried(call)+maxEndpointChanges {
+	if o.failReason != ReasonNone || o.attempt.verdict == verdictWhole || ctx.Err() != nil {
 		return false
 	}
-	mayRerun := !c.at.begun && c.state.MayOffer() || call.Kind == desc.KindResumableStream && !c.at.unknown
-	if !mayRerun || c.crashes >= maxCrashesPerCall || c.sends >= max(1, call.MaxAttempts) {
-		return false
+	if lease := c.successor; lease != nil {
+		c.successor = nil
+		c.s.Metrics.Retries.WithLabelValues("silent").Inc()
+		c.sendTo(ctx, lease)
+		return true
 	}
-	if !o.attempt.notReached() && !c.s.Retries.TryRetry(time.Now(), call.Service) {
+	if c.retryObstacle() != "" || !o.attempt.notReached() && !c.s.Retries.TryRetry(time.Now(), c.in.Call.Service) {
 		return false
 	}
 	c.s.Metrics.Retries.WithLabelValues(o.attempt.verdict.String()).Inc()
@@ -385,6 +361,21 @@
 	return true
 }
 
+// retryObstacle returns why the call must not be sent to another endpoint, empty if it may.
+func (c *streamCall) retryObstacle() string {
+	call := c.in.Call
+	mayRerun := !c.at.begun && c.state.MayOffer() || call.Kind == desc.KindResumableStream && !c.at.unknown
+	switch {
+	case !mayRerun:
+		return "cannot run again"
+	case c.sends >= max(1, call.MaxAttempts), len(c.tried) >= maxEndpointsTried(call)+maxEndpointChanges:
+		return "no attempts left"
+	case c.crashes >= maxCrashesPerCall:
+		return "endpoints crashed"
+	}
+	return ""
+}
+
 // setSource makes src the current source and closes the one before it.
 func (c *streamCall) setSource(src *source) {
 	if c.source != nil {
@@ -399,6 +390,7 @@
 		c.state = c.state.WithOffer().WithAccept()
 	}
 	c.s.discardCopy(c.spareCopy)
+	c.releaseSuccessor() // the endpoint answered just as it was given up
 	c.source, c.movedCopy, c.spareCopy, c.failedTargets = src, nil, nil, nil
 	c.sourceEvents = 0
 	c.finalMoveSent.Store(false)
