Entry: an unreachable agent is given up only for another one that admits the call

Callers of a generation without a token yet got "no endpoint admits the call", outcome unknown, after 1 to 2 s if its agent could not be reached for that long, also where no other agent could take it; the engine went on with the generation.

Cause: recoverAttempt gave the attempt up after a second if the call may run elsewhere, and only then probed other agents. Change: other agents are probed after that second while the agent is still being called, and the call is offered to one that admits it, with a retry from the budget. Otherwise the agent is waited for as long as that of any other call (10 s). agent_unreachable names the decision.

--- a/internal/entry/relay/attempt.go
+++ b/internal/entry/relay/attempt.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosalock/mimosalock/internal/agent/place"
@@ -218,18 +219,18 @@
 
 // recoverAttempt reconnects to the agent of an attempt whose stream was lost. It
 // resumes the attempt if it has started, and otherwise revokes it, so that it never
-// starts. It returns an End if the call cannot continue.
+// starts. A call that may run elsewhere soon does, if another agent admits it. It returns an
+// End if the call cannot continue.
 func (s *Session) recoverAttempt(ctx context.Context) Event {
-	timeout := recoverTimeout
-	if s.state.Relayed() == 0 && !s.call.Offer.NoRepeat {
-		timeout = repeatableRecoverTimeout
-	}
 	s.Metrics.Attempts.WithLabelValues("lost").Inc()
 	start := time.Now()
-	for pause := minRecoverPause; time.Since(start) < timeout && ctx.Err() == nil; pause = min(maxRecoverPause, 2*pause) {
+	for pause := minRecoverPause; time.Since(start) < recoverTimeout && ctx.Err() == nil; pause = min(maxRecoverPause, 2*pause) {
 		if s.reconnect(ctx) {
 			return s.afterRecovery()
 		}
+		if time.Since(start) >= replaceAfter && s.replaceAgent(ctx) {
+			return nil
+		}
 		sleep(ctx, pause/2+time.Duration(s.rng.Int64N(int64(pause))))
 	}
 	if ctx.Err() != nil {
@@ -243,6 +244,33 @@
 	return s.end("the endpoint's agent does not answer", 0)
 }
 
+// replaceAgent offers a call whose agent cannot be reached to another one, if it may run again
+// and another agent admits it. Otherwise the agent is waited for: it may come back and still
+// hold the response.
+func (s *Session) replaceAgent(ctx context.Context) bool {
+	lost := s.state.WithLost()
+	if s.state.Relayed() > 0 || !lost.MayOffer() || s.blocked(time.Now()) != "" {
+		return false
+	}
+	s.tried[s.agent.Host] = true
+	probes := probeReplies{conns: map[string]*link.Conn{}}
+	best, ok := s.chooseAgent(ctx, &probes)
+	ok = ok && s.tryRetry("agent lost")
+	for host, conn := range probes.conns {
+		if !ok || host != best.Member.Host {
+			s.Pool.Put(conn)
+		}
+	}
+	s.Log.Info("agent_unreachable", zap.String("attempt", s.subject()), zap.String("agent", s.agent.Host), zap.Bool("replaced", ok),
+		zap.Int("candidates", len(probes.replies)), zap.String("last_refusal", s.lastRefusal), zap.Duration("age", time.Since(s.started)))
+	if !ok {
+		return false
+	}
+	s.state, s.head = lost, nil
+	s.sendOffer(best, probes.conns[best.Member.Host])
+	return true
+}
+
 // afterRecovery takes a retry from the budget if the lost attempt was not resumed
 // and the call needs another attempt.
 func (s *Session) afterRecovery() Event {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -77,15 +77,15 @@
 func (End) event()     {}
 
 const (
-	recoverTimeout           = 10 * time.Second // limit for reaching the agent of a lost attempt
-	repeatableRecoverTimeout = time.Second      // same, for a call that can run elsewhere: repeatable, no frame relayed
-	minRecoverPause          = 50 * time.Millisecond
-	maxRecoverPause          = time.Second
-	framesPerAck             = 32
-	ackInterval              = time.Second // heartbeat to the agent; a third of the default silence timeout
-	inboxSize                = 64
-	acceptedSilenceTimeout   = 1400 * time.Millisecond // the agent's heartbeat interval of 1 s plus delay
-	defaultRetryAfter        = time.Second
+	recoverTimeout         = 10 * time.Second // limit for reaching the agent of a lost attempt
+	replaceAfter           = time.Second      // then another agent is looked for, if the call can run elsewhere: repeatable, no frame relayed
+	minRecoverPause        = 50 * time.Millisecond
+	maxRecoverPause        = time.Second
+	framesPerAck           = 32
+	ackInterval            = time.Second // heartbeat to the agent; a third of the default silence timeout
+	inboxSize              = 64
+	acceptedSilenceTimeout = 1400 * time.Millisecond // the agent's heartbeat interval of 1 s plus delay
+	defaultRetryAfter      = time.Second
 )
 
 // Session is a call in progress. It is not safe for concurrent use.
