A stream is read ahead of its caller by bytes, not by events alone

Shown with the real process: 24 engines that send events of 60 KB to 96 callers that do not read.

Cause: a source reads up to 64 events ahead, whatever their size: 4 MB a stream here, 64 MB at the largest event. Change: at most 64 KB ahead, or one event that alone is larger.

--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -7,11 +7,17 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
 
-// eventBuffer is the number of events read ahead of the caller.
-const eventBuffer = 64
+// eventBuffer and maxReadAhead bound the events read ahead of the caller, whom a slow link may
+// keep from taking them: their number, and their bytes unless one alone is larger.
+const (
+	eventBuffer  = 64
+	maxReadAhead = 64 << 10
+)
 
 // discardTimeout bounds the wait for a body that nobody gets. It usually arrives with its
 // head.
@@ -22,6 +28,7 @@
 	lease    *sched.Lease
 	response *Response
 	events   chan streamItem
+	ahead    *semaphore.Weighted // bytes of the events in the channel
 	cancel   context.CancelFunc
 }
 
@@ -54,7 +61,7 @@
 		lease.Release(time.Now(), a.leaseOutcome(caller))
 		return nil, a
 	}
-	src := &source{lease: lease, response: a.response, cancel: cancel, events: make(chan streamItem, eventBuffer)}
+	src := &source{lease: lease, response: a.response, cancel: cancel, events: make(chan streamItem, eventBuffer), ahead: semaphore.NewWeighted(maxReadAhead)}
 	go src.read(ctx, at)
 	return src, a
 }
@@ -92,9 +99,7 @@
 		if err != nil {
 			src.response.Body.Close(errors.Is(err, io.EOF))
 		}
-		select {
-		case src.events <- it:
-		case <-ctx.Done():
+		if !src.queue(ctx, it) {
 			if err == nil {
 				src.response.Body.Close(false)
 			}
@@ -106,6 +111,24 @@
 	}
 }
 
+// queue passes an item on once there is room for it. It returns false if ctx ends first.
+func (src *source) queue(ctx context.Context, it streamItem) bool {
+	if src.ahead.Acquire(ctx, it.queuedBytes()) != nil {
+		return false
+	}
+	select {
+	case src.events <- it:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// taken makes room for the bytes of an item that has been taken from the channel.
+func (src *source) taken(it streamItem) { src.ahead.Release(it.queuedBytes()) }
+
+func (it streamItem) queuedBytes() int64 { return int64(min(len(it.raw), maxReadAhead)) }
+
 // close cancels the request and releases the lease. The endpoint stops work when
 // the connection closes.
 func (src *source) close(now time.Time, outcome sched.Outcome) {
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -136,6 +136,7 @@
 	}
 	select {
 	case it := <-events:
+		c.source.taken(it)
 		return c.handleItem(ctx, it)
 	case <-leaving:
 		c.startMove(ctx, "leaving")
