A gateway that is out of step asks which version began a stream

Shown with real processes: a gateway frozen by a signal while engines of v2 join, the gateway of the streams killed, callers at the frozen one as it wakes.

Cause: a gateway that does not know a stream took the only version in its own list for that of the stream, before it asked peers; the list of a process that has just woken, or is cut off, is old. Change: the list decides only in step: no standstill within 0.5 s, and a copy that is current within a second or, in an outage of the store, a peer in touch without a newer one. Else peers are asked, then the store's history, which is read anew at most once a second; it was read once after the start.

--- a/internal/fleet/watch/history.go
+++ b/internal/fleet/watch/history.go
@@ -11,21 +11,20 @@
 // historyTimeout bounds the wait for the registry's history: a caller waits for it.
 const historyTimeout = 500 * time.Millisecond
 
-// maxHistoryReads bounds how often a process tries to read the history.
-const maxHistoryReads = 3
+// historyInterval is the least time between two reads of the history, and for how long one of them
+// is used.
+const historyInterval = time.Second
 
-// history is which versions of the software the registry's history holds, as read when this
-// process first needed it.
+// history is which versions of the software the registry's history holds, as last read.
 type history struct {
 	mu       sync.Mutex
-	reads    int
-	versions map[string][]string // by service; nil until the history was read
+	readAt   time.Time
+	versions map[string][]string // by service; nil if it could not be read
 }
 
-// OnlySoftware returns the only version of a service that the registry lists or held shortly
-// before this process began to follow it. ok is false if there were several or the history is
-// gone. It is meant for processes that have just started: later ones know the versions
-// themselves.
+// OnlySoftware returns the only version of a service that the registry lists or held until
+// just now. ok is false if there were several or the history is gone. It is meant for processes
+// that have just started or are out of step: others know the versions themselves.
 func (w *Watcher) OnlySoftware(ctx context.Context, service string) (software string, ok bool) {
 	versions := w.historicalSoftware(ctx, service)
 	listed, known := w.Scheduler.OnlyListedSoftware(time.Now(), service)
@@ -38,8 +37,8 @@
 func (w *Watcher) historicalSoftware(ctx context.Context, service string) []string {
 	w.history.mu.Lock()
 	defer w.history.mu.Unlock()
-	if w.history.versions == nil && w.history.reads < maxHistoryReads {
-		w.history.reads++
+	if w.history.readAt.IsZero() || time.Since(w.history.readAt) >= historyInterval {
+		w.history.readAt = time.Now()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 		defer cancel()
 		w.history.versions = w.readHistory(ctx)
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -58,6 +58,8 @@
 	Standby(now time.Time, reader string) int
 	// Newer returns a peer whose copy has a later version and is at most maxAge old.
 	Newer(now time.Time, v mirror.Version, maxAge time.Duration) (address string, ok bool)
+	// InTouch reports whether a peer has shown a sign of life within a time.
+	InTouch(now time.Time, within time.Duration) bool
 	// IsEntryPoint reports whether processes that start ask this one first.
 	IsEntryPoint() bool
 	// Processes returns the number of live processes, including this one.
@@ -160,6 +162,7 @@
 	graceUntil   time.Time // endpoints whose entries vanish before then may have expired
 
 	history history
+	awake   awake
 
 	applying sync.Mutex // held while changes of the copy are passed on, to keep their order
 	epochAt  time.Time  // when the copy entered its epoch, zero for the first one; guarded by applying
@@ -230,6 +233,7 @@
 // seconds.
 func (w *Watcher) expireAll(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.awake.tick(time.Now())
 		w.expire(time.Now())
 		sleep(ctx, pollInterval)
 	}
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -24,11 +24,13 @@
 	copy         *mirror.Mirror // of one peer, nil if no peer has a copy
 	age          time.Duration  // of the peer's copy
 	isEntryPoint bool
+	inTouch      bool
 }
 
-func (p *fakePeers) Standby(time.Time, string) int { return p.standby }
-func (p *fakePeers) IsEntryPoint() bool            { return p.isEntryPoint }
-func (p *fakePeers) Processes(time.Time) int       { return p.count }
+func (p *fakePeers) Standby(time.Time, string) int         { return p.standby }
+func (p *fakePeers) InTouch(time.Time, time.Duration) bool { return p.inTouch }
+func (p *fakePeers) IsEntryPoint() bool                    { return p.isEntryPoint }
+func (p *fakePeers) Processes(time.Time) int               { return p.count }
 func (p *fakePeers) Newer(_ time.Time, v mirror.Version, maxAge time.Duration) (string, bool) {
 	return "peer", p.copy != nil && v.Before(p.copy.Position().Version()) && p.age <= maxAge
 }
--- a/internal/router/peers/notice.go
+++ b/internal/router/peers/notice.go
@@ -309,6 +309,18 @@
 	return address, ok
 }
 
+// InTouch reports whether a peer has shown a sign of life within a time.
+func (g *Group) InTouch(now time.Time, within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if p.aliveWithin(now, within) {
+			return true
+		}
+	}
+	return false
+}
+
 // IsEntryPoint reports whether other processes contact this one first: it is a seed,
 // or there are none.
 func (g *Group) IsEntryPoint() bool {
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -221,8 +221,19 @@
 
 func (b *pipeBody) Close(bool) { _ = b.PipeReader.Close() }
 
-// fakeOrigins says which versions peers and the registry's history name, none if empty.
-type fakeOrigins struct{ peers, history string }
+// fakeOrigins says which versions peers and the registry's history name, none if empty, and those
+// that the scheduler knows, unless the process is out of step.
+type fakeOrigins struct {
+	peers, history string
+	scheduler      *sched.Scheduler // nil out of step
+}
+
+func (o fakeOrigins) CurrentSoftware(service string) (string, bool) {
+	if o.scheduler == nil {
+		return "", false
+	}
+	return o.scheduler.OnlySoftware(time.Now(), service)
+}
 
 func (o fakeOrigins) FindStream(context.Context, string, string) (string, bool) {
 	return o.peers, o.peers != ""
@@ -265,7 +276,7 @@
 		h.scheduler.Put(time.Now(), endpt.Endpoint{ID: id, StartedMs: 1, Service: "s", Address: id + ":1", DataCentre: "a1", Region: "a", Slots: 4})
 	}
 	h.server = New(Deps{
-		Scheduler: h.scheduler, Blame: blame.New(), Begun: begun.New(), Origins: fakeOrigins{}, Upstream: h.fakeUpstream, Bodies: memlim.New(16 << 20), Metrics: metric.New(), Log: zap.NewNop(),
+		Scheduler: h.scheduler, Blame: blame.New(), Begun: begun.New(), Origins: fakeOrigins{scheduler: h.scheduler}, Upstream: h.fakeUpstream, Bodies: memlim.New(16 << 20), Metrics: metric.New(), Log: zap.NewNop(),
 		Retries: retry.New(retry.Config{RetryRatio: 0.2, Allowance: 20, Window: 10 * time.Second, Processes: oneProcess}),
 	})
 	return h
--- a/internal/router/serve/resume.go
+++ b/internal/router/serve/resume.go
@@ -14,6 +14,9 @@
 type Origins interface {
 	// FindStream asks the other processes. known is false if none can tell.
 	FindStream(ctx context.Context, service, callID string) (software string, known bool)
+	// CurrentSoftware returns the only version of a service that has served for a while. ok is
+	// false if this process cannot know that there was no other.
+	CurrentSoftware(service string) (software string, ok bool)
 	// OnlySoftware returns the only version of a service that the registry's history holds.
 	// ok is false if there were several, or the history does not reach back far enough.
 	OnlySoftware(ctx context.Context, service string) (software string, ok bool)
@@ -29,7 +32,7 @@
 	}
 	if !known {
 		source = "only_version"
-		software, known = s.Scheduler.OnlySoftware(began, call.Service)
+		software, known = s.Origins.CurrentSoftware(call.Service)
 	}
 	if !known && call.Resumes != "" {
 		source = "peers"
