Agent: all responses that are read as a whole share a memory limit

Cause: 32 MB for each response, and no limit for all; the limit of the buffers counts what is stored, and a body is stored once it is complete. Change: the reads share a budget of buffer_bytes, as the gateway's do.

--- a/internal/agent/invoke/crash_test.go
+++ b/internal/agent/invoke/crash_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/mimosalock/mimosalock/internal/agent/buffer"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -34,7 +35,7 @@
 				}()
 				end := RunPlain(context.Background(), Job{
 					Offer:    &peerpb.Offer{Attempt: "a", Method: "POST", Target: "/", NoRepeat: noRepeat, DeadlineMs: 1000},
-					Endpoint: ln.Addr().String(), Buffer: buffer.New("ws", 0),
+					Endpoint: ln.Addr().String(), Buffer: buffer.New("ws", 0), Bodies: memlim.New(64 << 20),
 				})
 				if end.BrokeAtStart != crashes || end.Outcome == peerpb.Outcome_OUTCOME_COMPLETE {
 					t.Errorf("%v, broke at start: %v, want %v", end.Outcome, end.BrokeAtStart, crashes)
--- a/internal/agent/invoke/invoke.go
+++ b/internal/agent/invoke/invoke.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -21,6 +20,7 @@
 	"github.com/mimosalock/mimosalock/internal/agent/engine"
 	"github.com/mimosalock/mimosalock/internal/agent/origin"
 	"github.com/mimosalock/mimosalock/internal/call/httpc"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -44,6 +44,7 @@
 	Adopted  bool                                  // an earlier agent process started it in the engine
 	OnFrame  func(count uint64, gap time.Duration) // called after each frame of a stream
 	OnClosed func(wait time.Duration)              // called when the endpoint wants no calls for a while
+	Bodies   *memlim.Budget                        // memory for responses that are read as a whole, of all jobs
 }
 
 // StreamID returns the identifier of an attempt in the engine. It contains a hash
@@ -247,10 +248,11 @@
 // storeBody reads a response that is not an event stream, such as an error of the
 // engine, and stores it once it is complete.
 func storeBody(j Job, resp *origin.Response) error {
-	body, err := readBody(resp)
+	body, release, err := j.Bodies.ReadAll(resp.Body(), maxResponseBytes)
 	if err != nil {
 		return err
 	}
+	defer release() // the buffer has its own limit
 	j.Buffer.SetHead(responseHead(resp))
 	appendBody(j.Buffer, body)
 	return nil
@@ -301,14 +303,6 @@
 	return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_INTERRUPTED, Reason: err.Error(), Rerun: ctx.Err() == nil, BrokeAtStart: crashed}
 }
 
-func readBody(resp *origin.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body(), maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("answer exceeds %d bytes", maxResponseBytes)
-	}
-	return body, err
-}
-
 // appendBody appends a body in frames of up to bodyFrameBytes.
 func appendBody(b *buffer.Buffer, body []byte) {
 	for len(body) > 0 {
--- a/internal/agent/invoke/invoke_test.go
+++ b/internal/agent/invoke/invoke_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mimosalock/mimosalock/internal/agent/buffer"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -38,7 +39,7 @@
 			t.Parallel()
 			end := RunModel(context.Background(), Job{
 				Offer:    &peerpb.Offer{Attempt: "a", Method: http.MethodPost, Target: "/", Stream: test.stream, DeadlineMs: 300},
-				Endpoint: endpointOf(t, test.handler), Buffer: buffer.New("ws", 0), OnFrame: func(uint64, time.Duration) {},
+				Endpoint: endpointOf(t, test.handler), Buffer: buffer.New("ws", 0), Bodies: memlim.New(64 << 20), OnFrame: func(uint64, time.Duration) {},
 			})
 			if end.Outcome != test.outcome || end.BrokeAtStart != test.broke || !end.Rerun {
 				t.Errorf("%v, broke at start: %v, rerun: %v; want %v, %v, true (%s)", end.Outcome, end.BrokeAtStart, end.Rerun, test.outcome, test.broke, end.Reason)
--- a/internal/agent/invoke/raw_test.go
+++ b/internal/agent/invoke/raw_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mimosalock/mimosalock/internal/agent/buffer"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/wire/peerpb"
 )
 
@@ -61,6 +62,9 @@
 // stored.
 func runRaw(run func(context.Context, Job) *peerpb.End, j Job) (*peerpb.End, *peerpb.Head, []string) {
 	j.Buffer, j.OnFrame = buffer.New("ws", 0), func(uint64, time.Duration) {}
+	if j.Bodies == nil {
+		j.Bodies = memlim.New(64 << 20)
+	}
 	if j.OnClosed == nil {
 		j.OnClosed = func(time.Duration) {}
 	}
--- a/internal/agent/runner/run.go
+++ b/internal/agent/runner/run.go
@@ -70,7 +70,7 @@
 	job := invoke.Job{
 		Offer: run.Offer, Endpoint: r.Settings.Endpoint, Buffer: run.Buffer, Adopted: run.adopted,
 		OnFrame:  func(count uint64, gap time.Duration) { r.recordTokens(run, count, gap) },
-		OnClosed: func(wait time.Duration) { r.closeFor(run, wait) },
+		OnClosed: func(wait time.Duration) { r.closeFor(run, wait) }, Bodies: r.bodies,
 	}
 	var end *peerpb.End
 	if service.Kind == spec.KindModel {
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/mimosalock/mimosalock/internal/agent/ledger"
 	"github.com/mimosalock/mimosalock/internal/agent/models"
 	"github.com/mimosalock/mimosalock/internal/call/callid"
+	"github.com/mimosalock/mimosalock/internal/call/memlim"
 	"github.com/mimosalock/mimosalock/internal/conf/active"
 	"github.com/mimosalock/mimosalock/internal/conf/setup"
 	"github.com/mimosalock/mimosalock/internal/conf/spec"
@@ -55,6 +56,7 @@
 type Runner struct {
 	Deps
 	engine *engine.Client
+	bodies *memlim.Budget // for responses that are read as a whole
 
 	mu             sync.Mutex
 	admission      *admit.Controller
@@ -75,7 +77,7 @@
 // New returns the Runner of one endpoint. It accepts no calls before Run.
 func New(d Deps) *Runner {
 	return &Runner{
-		Deps: d, engine: engine.New(d.Settings.Endpoint), ledger: ledger.New(), runs: map[string]*Run{}, modelOrders: models.New(),
+		Deps: d, engine: engine.New(d.Settings.Endpoint), bodies: memlim.New(int64(d.Settings.BufferBytes)), ledger: ledger.New(), runs: map[string]*Run{}, modelOrders: models.New(),
 	}
 }
 
