A response that arrives as its endpoint is given up counts as lost at once

Callers waited 0.9 s more for the first event.

Cause: the end of the send cancels the request, and a response that has just arrived is returned as a source whose body is cut off; its reader may end without reporting that. Change: open looks whether the send was given up meanwhile, and if so reports it as lost, so that the reserved endpoint gets the call.

Before: TestResponseArrivesAsEndpointIsGivenUp, "the first event came after 2.45s", in three of three runs of 100 calls each (limit 1.6 s). After: passes three times.

--- a/internal/router/serve/silent_test.go
+++ b/internal/router/serve/silent_test.go
@@ -186,3 +186,20 @@
 	}
 	return n
 }
+
+// Guards against a response that arrives just as its endpoint is given up, and whose body is cut off
+// without a word.
+func TestResponseArrivesAsEndpointIsGivenUp(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Duration(responseStartFactor * float64(time.Second)) // the target in serve
+			h := newHarness(reply{status: http.StatusOK, wait: start, events: 3, gap: 50 * time.Millisecond}, streamReply(0, 3))
+			result := h.serve(t.Context(), desc.KindResumableStream, 2)
+			expectStream(t, h, result, callst.OutcomeComplete, 3)
+			if result.FirstEvent > start+100*time.Millisecond {
+				t.Errorf("the first event came after %v", result.FirstEvent)
+			}
+			expectNoLoad(t, h)
+		})
+	}
+}
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -44,9 +44,13 @@
 // cancelled if givenUp ends before the response begins.
 func (s *Server) open(caller, givenUp context.Context, lease *sched.Lease, req SendRequest, at position) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
-	defer context.AfterFunc(givenUp, cancel)()
+	inTime := context.AfterFunc(givenUp, cancel)
 	a := attempt{lease: lease}
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
+	if !inTime() && a.err == nil { // its body is cut off already
+		a.response.Body.Close(false)
+		a.response, a.err = nil, givenUp.Err()
+	}
 	a.verdict = at.classify(a.response, a.err)
 	if a.verdict != verdictGood {
 		if at.begun { // nobody gets the body; reading it keeps the connection
