--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -51,6 +51,7 @@
 	At                                       time.Time
 	Done                                     bool // the line tells the end of the run
 	Left                                     bool // the connection was closed before the end
+	Moved                                    bool // the run was stopped by a final move
 }
 
 // process is a child that the case has started.
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -2,14 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +29,9 @@
 	Gap         time.Duration // between events
 	Prefill     time.Duration // from the head of a stream to its first event
 	Slots       int
+	Conns       int           // connections that it accepts, as max_connections says; 0 for no limit
+	Linger      time.Duration // from SIGTERM until it takes no new connections; what runs then, it finishes
+	CopyTime    time.Duration // of the memory of a run
 	Early       time.Duration // a plain worker answers before it has read a long body, and takes so long for its answer
 	Born        int64
 }
@@ -34,6 +43,7 @@
 	service, zone string
 	stopBeat      chan struct{}
 	incarnation   int
+	draining      atomic.Bool
 }
 
 // startWorker starts a worker process and registers it in the store.
@@ -85,7 +95,7 @@
 func (b *bed) beat(w *worker, p *process, stop chan struct{}, born int64) {
 	for n := 1; ; n++ {
 		if p.alive() {
-			b.store.put("servers/"+w.ID, w.entry("ready", n, born))
+			b.store.put("servers/"+w.ID, w.entry(w.state(), n, born))
 		}
 		select {
 		case <-stop:
@@ -102,6 +112,21 @@
 	}
 }
 
+func (w *worker) state() string {
+	if w.draining.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain begins the planned shutdown of a worker.
+func (b *bed) drain(w *worker) {
+	w.draining.Store(true)
+	b.store.put("servers/"+w.ID, w.entry("draining", 1000, w.Born))
+	w.signal(syscall.SIGTERM)
+	b.note("%s reports draining", w.ID)
+}
+
 // crash kills a worker's process.
 func (b *bed) crash(w *worker) { w.kill() }
 
@@ -148,12 +173,21 @@
 			_ = out.Encode(r)
 		}
 	}()
+	var draining atomic.Bool
+	memory := &memories{runs: map[string]*generation{}, copies: map[string]bool{}, moved: map[string]bool{}, copyTime: plan.CopyTime}
 	serve := func(w http.ResponseWriter, r *http.Request) {
 		h := w.Header()
 		id := r.Header.Get("Attempt-Id")
 		h.Set("Keep-Alive", "timeout=10")
-		if r.URL.Path == "/report" {
-			reply(w, map[string]any{"phase": "unified", "models": []any{}, "busy": false, "sequence": 0, "waiting": 0, "running": running.Load(), "kv_used": 0, "kv_total": 30000, "kv_handles": 0})
+		switch {
+		case r.URL.Path == "/report":
+			state := "ready"
+			if draining.Load() {
+				state = "draining"
+			}
+			reply(w, map[string]any{"phase": "unified", "models": []any{}, "busy": false, "sequence": 0, "waiting": 0, "running": running.Load(), "kv_used": 0, "kv_total": 30000, "kv_handles": 0, "state": state})
+			return
+		case memory.serve(w, r):
 			return
 		}
 		h.Set("Attempt-Id", id)
@@ -164,7 +198,7 @@
 			reject = http.StatusBadRequest
 		case expected != "" && expected != plan.ID:
 			reject = http.StatusMisdirectedRequest
-		case running.Load() >= int64(plan.Slots):
+		case running.Load() >= int64(plan.Slots), !memory.use(r.Header.Get("Kv-From")):
 			reject = http.StatusServiceUnavailable
 		}
 		if reject != 0 {
@@ -177,13 +211,13 @@
 		told := run{Worker: plan.ID, ID: id, Method: r.Method, Target: r.RequestURI, Tenant: r.Header.Get("Tenant-Id"), Body: string(body), At: time.Now()}
 		lines <- told
 		defer func() {
-			told.Done, told.Left, told.At = true, r.Context().Err() != nil, time.Now()
+			told.Done, told.Left, told.Moved, told.At = true, r.Context().Err() != nil, memory.wasMoved(id), time.Now()
 			lines <- told
 		}()
 		h.Set("Server-Stamp", "stamp."+plan.ID+"."+id)
 		h.Set("Instance-Id", plan.ID)
 		if plan.Events > 0 {
-			streamEvents(w, r, plan, id)
+			streamEvents(w, r, plan, id, memory)
 			return
 		}
 		select {
@@ -202,18 +236,40 @@
 		serveEarly(ln, plan, lines)
 		return
 	}
-	fmt.Println(http.Serve(ln, http.HandlerFunc(serve)))
+	if plan.Conns > 0 {
+		ln = &cappedListener{Listener: ln, most: int64(plan.Conns)}
+	}
+	server := &http.Server{Handler: http.HandlerFunc(serve)}
+	ended := make(chan struct{})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	go func() {
+		<-stop
+		draining.Store(true)
+		time.Sleep(plan.Linger)
+		_ = server.Shutdown(context.Background()) // waits for what runs
+		close(ended)
+	}()
+	if err := server.Serve(ln); errors.Is(err, http.ErrServerClosed) {
+		<-ended
+		time.Sleep(50 * time.Millisecond) // for the last lines of output
+	}
 }
 
-func streamEvents(w http.ResponseWriter, r *http.Request, plan workerPlan, id string) {
+func streamEvents(w http.ResponseWriter, r *http.Request, plan workerPlan, id string, memory *memories) {
+	g := memory.begin(id)
+	defer memory.end(id)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
 	_ = controller.Flush()
 	wait := plan.Prefill
-	for n := 1; n <= plan.Events; n++ {
+	for n := after + 1; n <= plan.Events; n++ {
 		select {
 		case <-time.After(wait):
+		case <-g.stop: // moved away
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
@@ -222,6 +278,7 @@
 		if controller.Flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
+		g.created.Store(int64(n))
 	}
 }
 
@@ -264,3 +321,40 @@
 		}()
 	}
 }
+
+// cappedListener accepts a number of connections and resets any beyond that.
+type cappedListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+// Accept returns the next connection within the limit.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &cappedConn{Conn: c, listener: l}, nil
+		}
+		l.open.Add(-1)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // Close then resets it
+		}
+		_ = c.Close()
+	}
+}
+
+type cappedConn struct {
+	net.Conn
+	listener *cappedListener
+	once     sync.Once
+}
+
+// Close makes room for another connection.
+func (c *cappedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/review/rig/zone.go
+++ b/review/rig/zone.go
@@ -61,7 +61,8 @@
 	config := map[string]any{
 		"version": 3, "routes": first, "limits": limitsOfRequests(),
 		"backends": []any{
-			map[string]any{"name": "shop", "max_connections": 100}, map[string]any{"name": "stock", "max_connections": 100},
+			map[string]any{"name": "shop", "max_connections": 100},
+			map[string]any{"name": "stock", "max_connections": 100},
 			map[string]any{"name": "pool", "max_connections": 222, "engine": map[string]any{"batch_slots": 24, "kv_capacity": 34206, "kv_bytes": 163840, "bandwidth_mbps": 24000, "moves": false}},
 		},
 		"tenants": []any{map[string]any{"name": "acme", "api_keys": []string{"k-acme"}}, map[string]any{"name": "zeta", "api_keys": []string{"k-zeta"}}},
