--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -38,7 +38,6 @@
 	mu       sync.Mutex
 	record   *os.File
 	children []*process
-	workers  []*worker
 	seeds    []string
 	hosts    int
 	runs     []run
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -29,6 +29,7 @@
 	Gap         time.Duration // between events
 	Prefill     time.Duration // from the head of a stream to its first event
 	Slots       int
+	Answer      int           // bytes of a plain answer, 0 for a line
 	Conns       int           // connections that it accepts, as max_connections says; 0 for no limit
 	Linger      time.Duration // from SIGTERM until it takes no new connections; what runs then, it finishes
 	CopyTime    time.Duration // of the memory of a run
@@ -42,7 +43,6 @@
 	workerPlan
 	service, zone string
 	stopBeat      chan struct{}
-	incarnation   int
 	draining      atomic.Bool
 }
 
@@ -52,13 +52,11 @@
 	plan.Address = ip + ":9000"
 	w := &worker{workerPlan: plan, service: service, zone: zone}
 	b.boot(w)
-	b.workers = append(b.workers, w)
 	return w
 }
 
 // boot starts the process of a worker, also again after it was killed.
 func (b *bed) boot(w *worker) {
-	w.incarnation++
 	w.Born = time.Now().UnixMilli()
 	raw, err := json.Marshal(w.workerPlan)
 	must(err)
@@ -222,6 +220,10 @@
 		}
 		select {
 		case <-time.After(plan.Work):
+			if plan.Answer > 0 {
+				_, _ = w.Write(make([]byte, plan.Answer))
+				return
+			}
 			fmt.Fprintf(w, "answer to %s of %s by %s\n", id, strings.TrimSpace(r.RequestURI), plan.ID)
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
