A stream's proper end is its end, whatever its final move came to

Cause: a final move that failed in any way left its run as "maybe stopped", and a regular end of the stream counted no more. The stream was resumed from its spare copy, which had nothing to add, and cut. Whether the move had been sent, refused or lost its answer made no difference, nor did the end of the body, although a run that was stopped closes its stream without one. A proper end completes the stream in any order; without length or chunks, where the body's end tells nothing, the move's answer decides. A stream that closes while the answer is under way waits for it and is no broken one (stream_stopped). After 404 the copy is kept until the stream has ended. A move that was refused or not sent is tried again, one without an answer once an event shows that the run goes on. 503 with a handle goes on from the copy at once. Other 5xx count as no answer; they counted as refusals. move_failed tells the state. Cases that go on from the copy after a lost answer pass before and after. The harness of router/serve ended the stream of a stopped run like a complete one, framed or not, which no engine may do, and which hid the fault. It now does so without framing only; TestFinalMoveOfUnknownOutcome, TestRunEndsDuringMove and TestSecondHandoverFails run in both framings, and a refusal that has stopped the run brings its handle there.

--- a/internal/router/serve/handover_test.go
+++ b/internal/router/serve/handover_test.go
@@ -26,23 +26,23 @@
 		{"source breaks during the move", brokenErr, 4, reply{status: 200, firstID: 12, events: 16, gap: 50 * time.Millisecond, breaks: true}, streamReply(26, 14)},
 		{"engine says that the call is not running", ErrNotRunning, 3, streamReply(12, 28), streamReply(26, 14)},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := newHarness(streamReply(0, 40))
-				h.moveTimes = []time.Duration{100 * time.Millisecond, 5 * time.Millisecond, 5 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond}
-				h.moveErr, h.movesBeforeErr = test.moveErr, test.movesBeforeErr
-				go func() {
-					time.Sleep(510 * time.Millisecond)
-					h.removeFirstEndpoint()
-					h.setReplies(test.second)
-					time.Sleep(740 * time.Millisecond)
-					sent, _ := h.sends()
-					h.scheduler.Remove(time.Now(), strings.Fields(sent[1])[0], time.Time{})
-					h.setReplies(test.third)
-				}()
-				expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 40)
-				expectNoLoad(t, h)
-			})
+		inBothFramings(t, test.name, func(t *testing.T, unframed bool) {
+			first := streamReply(0, 40)
+			first.unframed = unframed
+			h := newHarness(first)
+			h.moveTimes = []time.Duration{100 * time.Millisecond, 5 * time.Millisecond, 5 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond}
+			h.moveErr, h.movesBeforeErr = test.moveErr, test.movesBeforeErr
+			go func() {
+				time.Sleep(510 * time.Millisecond)
+				h.removeFirstEndpoint()
+				h.setReplies(test.second)
+				time.Sleep(740 * time.Millisecond)
+				sent, _ := h.sends()
+				h.scheduler.Remove(time.Now(), strings.Fields(sent[1])[0], time.Time{})
+				h.setReplies(test.third)
+			}()
+			expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 40)
+			expectNoLoad(t, h)
 		})
 	}
 }
--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	breaks      bool          // the connection breaks after the events
 	hangs       bool          // nothing follows the events and the body does not end
 	hangup      *httpc.Hangup // result of the body's Hangup
+	until       int           // the events go on after the position of the send, until this ID; 0: see firstID and events
 }
 
 // moveReportDelay is the time from the end of a stopped stream to the response of its
@@ -58,12 +60,17 @@
 	runs    int      // sends whose call ran
 	closed  bool     // nothing serves connections at the endpoints' addresses
 	stop    func()   // ends the stream of the newest run, used by final moves
-	moveErr error
+	finish  func()   // completes the newest run
+	hang    func()   // makes the newest run silent
+	// onFinalMove answers the first final move, if it is set.
+	onFinalMove func() (handle string, err error)
+	moveErr     error
 	// moveTimes are how long moves take, in order; the last one repeats.
 	moveTimes      []time.Duration
 	moves          []time.Time   // times of the Move calls
 	movesBeforeErr int           // moves that succeed before the others fail with moveErr
 	refusedMoves   int           // moves that fail with moveErr before the others succeed; 0: see movesBeforeErr
+	failedHandle   string        // returned by moves that fail
 	freedCopies    int           // calls of Free
 	stopDelay      time.Duration // time from the request of a final move until its run stops
 
@@ -100,6 +107,10 @@
 	if !rep.notExecuted && !rep.misdirected {
 		u.runs++
 	}
+	if rep.until > 0 {
+		last, _ := strconv.Atoi(s.LastEventID)
+		rep.firstID, rep.events = last+1, rep.until-last
+	}
 	header := http.Header{}
 	if rep.contentType != "" {
 		header.Set("Content-Type", rep.contentType)
@@ -119,6 +130,10 @@
 	}
 	stop := u.stop
 	u.mu.Unlock()
+	if answer := u.onFinalMove; final && answer != nil {
+		u.onFinalMove = nil
+		return answer()
+	}
 	if final && !u.endsBeforeFinalMove && !u.stopHidesEnd {
 		time.AfterFunc(u.stopDelay, stop)
 	}
@@ -126,7 +141,7 @@
 		return "", ctx.Err()
 	}
 	if fails {
-		return "", u.moveErr
+		return u.failedHandle, u.moveErr
 	}
 	if final && u.endsBeforeFinalMove {
 		time.Sleep(moveReportDelay)
@@ -187,20 +202,32 @@
 	}
 }
 
-// body streams events. A source that a final move stops ends like a complete one.
-// This is the harder case, as only the result of the move tells them apart.
+// body streams events. A source that a final move stops closes its body without an end. Without
+// framing there is none, so that only the result of the move tells it from a complete one.
 func (u *fakeUpstream) body(ctx context.Context, rep reply) Body {
 	r, w := io.Pipe()
-	stopped := make(chan struct{})
+	stopped, finished, silent := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	u.stop = sync.OnceFunc(func() { close(stopped) })
+	u.finish = sync.OnceFunc(func() { close(finished) })
+	u.hang = sync.OnceFunc(func() { close(silent) })
 	go func() {
 		_, _ = io.WriteString(w, rep.text)
 		for i := rep.firstID; i < rep.firstID+rep.events; i++ {
 			select {
 			case <-time.After(rep.gap):
 			case <-stopped:
+				if rep.unframed {
+					_ = w.Close()
+					return
+				}
+				_ = w.CloseWithError(io.ErrUnexpectedEOF)
+				return
+			case <-finished:
 				_ = w.Close()
 				return
+			case <-silent:
+				<-ctx.Done()
+				return
 			case <-ctx.Done():
 				_ = w.CloseWithError(ctx.Err())
 				return
--- a/internal/router/serve/move.go
+++ b/internal/router/serve/move.go
@@ -22,7 +22,7 @@
 // startMove starts to move the running generation to another engine. The current
 // one goes on generating until the final move.
 func (c *streamCall) startMove(ctx context.Context) {
-	m := moveAttempt{source: c.source, first: !c.moveBegun, failedTargets: slices.Clone(c.failedTargets), spareCopy: c.spareCopy}
+	m := moveAttempt{source: c.source, first: !c.moveBegun, failedTargets: slices.Clone(c.failedTargets), spareCopy: c.spareCopy, keepsCopy: c.stop != runNotStopped}
 	if notice := c.s.outputs.notice(c.in.Call.Service); notice > 0 {
 		m.engineEnd = c.leavingSince.Add(notice)
 	}
@@ -38,6 +38,7 @@
 	first         bool        // the first attempt to leave this endpoint
 	failedTargets []string    // IDs of engines that the KV cache could not be copied to
 	spareCopy     *remoteCopy // made by an earlier attempt, nil if none
+	keepsCopy     bool        // the run may be stopped or lost, so that only the spare copy may be left of it
 	engineEnd     time.Time   // when the endpoint is expected to end, zero if unknown
 }
 
@@ -111,7 +112,7 @@
 func (c *streamCall) moveTo(ctx context.Context, m moveAttempt, remote *remoteCopy) opReport {
 	src := m.source
 	if !src.lease.IsLeaving() {
-		return c.moveCancelled(src, remote, "endpoint returned")
+		return c.moveCancelled(m, remote, "endpoint returned")
 	}
 	if remote == nil {
 		var failed opReport
@@ -120,28 +121,34 @@
 		}
 	}
 	if err := c.catchUp(ctx, m, remote); err != nil {
-		return c.moveFailure(src, remote, false, err)
+		return c.copyFailure(m, remote, err)
 	}
 	waitStart := time.Now()
 	if obstacle := c.awaitTarget(ctx, src, remote); obstacle != "" {
-		return c.moveCancelled(src, remote, obstacle)
+		return c.moveCancelled(m, remote, obstacle)
 	}
 	if time.Since(waitStart) > finalCopyTarget { // there is more to copy, and the link may be busy by now
 		if err := c.catchUp(ctx, m, remote); err != nil {
-			return c.moveFailure(src, remote, false, err)
+			return c.copyFailure(m, remote, err)
 		}
 	}
 	stopStart := time.Now()
 	targetWait := stopStart.Sub(waitStart)
 	c.finalMoveSent.Store(true)
 	handle, err := c.s.Upstream.Move(ctx, src.lease.Endpoint, c.in.Call.ID, remote.target.Endpoint, true)
+	state := stateAfterStop(handle, err)
 	if err != nil {
-		return c.moveFailure(src, remote, true, err)
+		c.logMoveFailed(src, remote.target, true, handle, err)
+		markIfFull(remote.target, err)
+	} else {
+		c.s.Metrics.Handovers.WithLabelValues("moved").Inc()
+		c.s.Log.Info("moved", zap.String("id", c.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", remote.target.Endpoint.ID),
+			zap.Duration("copy_took", stopStart.Sub(remote.began)), zap.Duration("target_wait", targetWait), zap.Duration("stop_took", time.Since(stopStart)))
+	}
+	if state != runStopped {
+		return opReport{failReason: ReasonLost, spareCopy: remote, stop: state}
 	}
 	remote.cache.Handle = handle
-	c.s.Metrics.Handovers.WithLabelValues("moved").Inc()
-	c.s.Log.Info("moved", zap.String("id", c.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", remote.target.Endpoint.ID),
-		zap.Duration("copy_took", stopStart.Sub(remote.began)), zap.Duration("target_wait", targetWait), zap.Duration("stop_took", time.Since(stopStart)))
 	return opReport{movedCopy: remote}
 }
 
@@ -166,33 +173,39 @@
 	return nil
 }
 
-// moveFailure returns the report of a move that failed after its first copy. If
-// the source may be lost, the copy is kept so that the stream can resume from it;
-// this counts as the same run. As a final move stops the run before it copies, a
-// failed one leaves unknown whether the run was stopped.
-func (c *streamCall) moveFailure(src *source, remote *remoteCopy, final bool, err error) opReport {
-	c.logMoveFailed(src, remote.target, final, err)
+// copyFailure returns the report of a move that failed after its first copy and before the
+// run was stopped. The copy is kept, so that the stream can resume from it if the source is
+// lost; this counts as the same run.
+func (c *streamCall) copyFailure(m moveAttempt, remote *remoteCopy, err error) opReport {
+	c.logMoveFailed(m.source, remote.target, false, "", err)
 	markIfFull(remote.target, err)
-	switch {
-	case errors.Is(err, ErrNotRunning):
-		c.s.discardCopy(remote)
-		return opReport{failReason: ReasonLost, notRunning: true}
-	case errors.Is(err, ErrMoveRefused) && !final:
+	if errors.Is(err, ErrMoveRefused) && !m.keepsCopy {
 		c.s.discardCopy(remote)
 		return opReport{failReason: ReasonLost, failedTarget: remote.target.Endpoint.ID, tryNext: true}
 	}
-	return opReport{failReason: ReasonLost, spareCopy: remote, maybeStopped: final}
+	report := opReport{failReason: ReasonLost, spareCopy: remote}
+	if errors.Is(err, ErrNotRunning) {
+		report.stop = runNotThere
+	}
+	return report
 }
 
-func (c *streamCall) logMoveFailed(src *source, target *sched.Lease, final bool, err error) {
+// logMoveFailed records a move that failed. handle is what the engine keeps of a run that it
+// has stopped all the same, empty if it has not said so.
+func (c *streamCall) logMoveFailed(src *source, target *sched.Lease, final bool, handle string, err error) {
 	c.s.Metrics.Handovers.WithLabelValues("failed").Inc()
-	c.s.Log.Info("move_failed", zap.String("id", c.in.Call.ID), zap.String("from", src.lease.Endpoint.ID),
-		zap.String("to", target.Endpoint.ID), zap.Bool("final", final), zap.Error(err))
+	fields := []zap.Field{
+		zap.String("id", c.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("to", target.Endpoint.ID), zap.Bool("final", final), zap.Error(err),
+	}
+	if final {
+		fields = append(fields, zap.Stringer("run", stateAfterStop(handle, err)))
+	}
+	c.s.Log.Info("move_failed", fields...)
 }
 
 // resumeFromCopy continues the stream at the engine that holds the copy.
 func (c *streamCall) resumeFromCopy(ctx context.Context, remote *remoteCopy) {
-	c.movedCopy, c.spareCopy = nil, nil
+	c.movedCopy, c.spareCopy, c.sourceEnded = nil, nil, false
 	if c.at.unknown { // an event without an ID came in after the move had begun
 		c.s.discardCopy(remote)
 		c.opPending = true
@@ -211,7 +224,7 @@
 
 // discardUnusedCopy frees the copy of a failed move if the endpoint has returned meanwhile.
 func (c *streamCall) discardUnusedCopy() {
-	if c.spareCopy != nil && c.source != nil && !c.opPending && !c.maybeStopped && !c.source.lease.IsLeaving() {
+	if c.spareCopy != nil && c.source != nil && !c.opPending && c.stop != runMaybeStopped && !c.source.lease.IsLeaving() {
 		c.s.discardCopy(c.spareCopy)
 		c.spareCopy = nil
 	}
--- a/internal/router/serve/report.go
+++ b/internal/router/serve/report.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/mimosalock/mimosalock/internal/call/callst"
 	"github.com/mimosalock/mimosalock/internal/call/desc"
 )
 
@@ -19,11 +18,10 @@
 	movedCopy    *remoteCopy
 	spareCopy    *remoteCopy // of a move that failed after its first copy
 	failReason   Reason
-	failedTarget string // ID of an engine that the KV cache could not be copied to
-	tryNext      bool   // another engine may be tried at once
-	maybeStopped bool   // a final move failed and may have stopped the source
-	notRunning   bool   // the run had already ended when the move was requested
-	targetGone   bool   // the engine with the copy must not get the request any more
+	failedTarget string    // ID of an engine that the KV cache could not be copied to
+	tryNext      bool      // another engine may be tried at once
+	stop         stopState // of the run, after a move that failed
+	targetGone   bool      // the engine with the copy must not get the request any more
 }
 
 // handleReport handles the outcome of a send or a move.
@@ -38,12 +36,13 @@
 			c.resumeFromCopy(ctx, c.movedCopy)
 		}
 		return Result{}, false
-	case o.notRunning && c.sourceEnded:
-		c.state = c.state.WithFinish()
-		return Result{Outcome: callst.OutcomeComplete}, true
+	case c.endedComplete(o.stop) && o.failReason != ReasonNone:
+		c.spareCopy = o.spareCopy
+		return c.complete(), true
 	case o.failReason != ReasonNone:
 		c.reason = o.failReason
-		c.spareCopy, c.maybeStopped = o.spareCopy, o.maybeStopped
+		c.spareCopy = o.spareCopy
+		c.recordStop(o.stop)
 		c.finalMoveSent.Store(false)
 		c.holdMoves(moveRetryPause)
 		switch {
@@ -64,7 +63,7 @@
 	if c.source != nil {
 		return Result{}, false // the move failed; the current source continues
 	}
-	if c.spareCopy != nil && (!c.sourceEnded || c.maybeStopped) {
+	if c.spareCopy != nil {
 		c.resumeFromCopy(ctx, c.spareCopy)
 		return Result{}, false
 	}
@@ -152,7 +151,7 @@
 	c.source, c.movedCopy, c.spareCopy, c.failedTargets = src, nil, nil, nil
 	c.sourceEvents = 0
 	c.finalMoveSent.Store(false)
-	c.moveBegun, c.maybeStopped, c.sourceEnded = false, false, false
+	c.moveBegun, c.stop, c.sourceEnded = false, runNotStopped, false
 	c.stays, c.leavingSince = false, time.Time{}
 	c.holdMoves(minStay)
 	c.resetStallTimer()
--- a/internal/router/serve/serve.go
+++ b/internal/router/serve/serve.go
@@ -38,9 +38,10 @@
 	Send(ctx context.Context, to endpt.Endpoint, s SendRequest) (*Response, error)
 	// Move copies the KV cache of a running generation to another engine and
 	// returns the handle of the copy. A final move stops the run before it copies.
-	// The error is ErrNotRunning if the run has already ended, and ErrMoveRefused if
-	// the engine responded that it cannot move the run; ErrNoRoom is one of the latter, with the
-	// handle of what the engine keeps if a final move has stopped the run all the same.
+	// The error is ErrNotRunning if the engine does not run the call, and ErrMoveRefused if it
+	// responded that it does not move it, and has not stopped it; ErrNoRoom is one of the latter,
+	// with the handle of what the engine keeps if a final move has stopped the run all the same.
+	// After any other error, except a *httpc.Error of KindUnsent, a final move may have stopped it.
 	Move(ctx context.Context, from endpt.Endpoint, callID string, to endpt.Endpoint, final bool) (handle string, err error)
 	// Closed reports whether nothing serves connections at the endpoint's address.
 	Closed(ctx context.Context, at endpt.Endpoint) bool
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -35,8 +35,9 @@
 	movedCopy      *remoteCopy       // the complete copy made when the current source was stopped, nil if none
 	spareCopy      *remoteCopy       // the partial copy made before a move of the current source failed, nil if none
 	finalMoveSent  atomic.Bool       // a final move was requested, which stops the current source
-	maybeStopped   bool              // a final move failed: the current source may have been stopped
-	sourceEnded    bool              // the last source ended normally while its final move was in progress
+	stop           stopState         // what the last final move of the current source has said of the run; stays runMaybeStopped
+	stopUnknown    time.Time         // when stop became runMaybeStopped
+	sourceEnded    bool              // the body of the last source ended regularly while its final move was in progress
 	at             position          // how far the caller has received the response
 	failedTargets  []string          // IDs of engines that the KV cache could not be copied to
 	answerRecorded time.Time         // when its prompt was last recorded as answered
@@ -127,7 +128,7 @@
 		events = c.source.events
 		if c.leavingSince.IsZero() {
 			noticed = c.source.lease.Leaving()
-		} else if !c.opPending && !c.moveOnHold && !c.maybeStopped && c.movedCopy == nil && c.canMove() {
+		} else if !c.opPending && !c.moveOnHold && c.movedCopy == nil && c.goesOn() && c.canMove() {
 			leaving = c.source.lease.Leaving()
 		}
 	}
@@ -194,16 +195,14 @@
 		return c.forward(it)
 	case !errors.Is(it.err, io.EOF) && ctx.Err() != nil:
 		return c.finalResult(doneReason(ctx)), true // broke off because the call is over, not a failure of the endpoint
-	case errors.Is(it.err, io.EOF) && c.movedCopy == nil && c.finalMoveSent.Load():
-		c.leaveSource(outcomeNone, "moved") // stopped by the move or complete; the move's report decides
-		c.sourceEnded = true
-		return Result{}, false
-	case errors.Is(it.err, io.EOF) && c.movedCopy == nil && !c.maybeStopped && !c.endsUnanswered():
-		c.s.recordAnswer(c.in.Call)
+	case errors.Is(it.err, io.EOF) && !c.endsUnanswered() && c.endIsSure():
 		c.leaveSource(outcomeSuccess, "complete")
-		c.state = c.state.WithFinish()
-		c.s.outputs.recordOutput(c.in.Call, c.at.seq)
-		return Result{Outcome: callst.OutcomeComplete, Ran: c.ran()}, true
+		return c.complete(), true
+	case c.stopPending():
+		c.sourceEnded = errors.Is(it.err, io.EOF) && !c.endsUnanswered()
+		c.leaveSource(outcomeNone, "moved") // the move's report decides
+		c.s.Log.Info("stream_stopped", zap.String("id", c.in.Call.ID), zap.String("after", c.at.lastID), zap.NamedError("end", it.err))
+		return Result{}, false
 	case c.movedCopy != nil:
 		c.leaveSource(outcomeNone, "moved")
 		c.resumeFromCopy(ctx, c.movedCopy)
@@ -223,6 +222,15 @@
 	return c.loseSource(ctx, outcomeFailed, "broken")
 }
 
+// complete records that the run has ended and the caller has its whole stream, and returns the
+// result.
+func (c *streamCall) complete() Result {
+	c.s.recordAnswer(c.in.Call)
+	c.state = c.state.WithFinish()
+	c.s.outputs.recordOutput(c.in.Call, c.at.seq)
+	return Result{Outcome: callst.OutcomeComplete, Ran: c.ran()}
+}
+
 // ran returns how long the stream took at its endpoints, 0 if only a part of it was asked for.
 func (c *streamCall) ran() time.Duration {
 	if c.in.Call.LastEventID != "" {
--- a/internal/router/serve/stream_test.go
+++ b/internal/router/serve/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -235,31 +236,41 @@
 }
 
 // Guards against a truncated stream that counts as complete. A failed final move may
-// have stopped its run, whose stream then ends like a complete one. The stream must
-// resume from the copy.
+// have stopped its run, whose stream then ends like a complete one if it has no framing. The
+// stream must resume from the copy.
 func TestFinalMoveOfUnknownOutcome(t *testing.T) {
 	for _, test := range []struct {
 		name      string
+		handle    string
 		err       error
 		stopDelay time.Duration
 	}{
-		{"its response is lost, after the stream ended", brokenErr, 0},
-		{"its response is lost, before the stream ends", brokenErr, 50 * time.Millisecond},
-		{"it is refused, after the stream ended", ErrMoveRefused, 0},
-		{"it is refused, before the stream ends", ErrMoveRefused, 50 * time.Millisecond},
+		{"its response is lost, after the stream ended", "", brokenErr, 0},
+		{"its response is lost, before the stream ends", "", brokenErr, 50 * time.Millisecond},
+		{"it is refused, after the stream ended", "handle", ErrNoRoom, 0},
+		{"it is refused, before the stream ends", "handle", ErrNoRoom, 50 * time.Millisecond},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := newHarness(streamReply(0, 40))
-				h.moveErr, h.movesBeforeErr, h.moveTimes, h.stopDelay = test.err, 2, idleLinkTimes, test.stopDelay
-				go func() {
-					time.Sleep(510 * time.Millisecond)
-					h.removeFirstEndpoint()
-					h.setReplies(streamReply(12, 28)) // continues after the events that the copy includes
-				}()
-				expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 40)
-				expectNoLoad(t, h)
-			})
+		inBothFramings(t, test.name, func(t *testing.T, unframed bool) {
+			first := streamReply(0, 40)
+			first.unframed = unframed
+			h := newHarness(first)
+			h.failedHandle, h.moveErr, h.movesBeforeErr, h.moveTimes, h.stopDelay = test.handle, test.err, 2, idleLinkTimes, test.stopDelay
+			go func() {
+				time.Sleep(510 * time.Millisecond)
+				h.removeFirstEndpoint()
+				h.setReplies(streamReply(12, 28)) // continues after the events that the copy includes
+			}()
+			expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 40)
+			expectNoLoad(t, h)
+		})
+	}
+}
+
+// inBothFramings runs a test with streams whose bodies have a length or chunks, and without.
+func inBothFramings(t *testing.T, name string, test func(t *testing.T, unframed bool)) {
+	for _, unframed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("%s, unframed: %v", name, unframed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, unframed) })
 		})
 	}
 }
@@ -312,8 +323,10 @@
 
 // A run that ends by itself during its move counts as complete.
 func TestRunEndsDuringMove(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(streamReply(0, 16)) // ends at 800 ms
+	inBothFramings(t, "ends", func(t *testing.T, unframed bool) {
+		first := streamReply(0, 16) // ends at 800 ms
+		first.unframed = unframed
+		h := newHarness(first)
 		h.endsBeforeFinalMove, h.moveTimes = true, []time.Duration{140 * time.Millisecond, 5 * time.Millisecond}
 		go func() {
 			time.Sleep(650 * time.Millisecond)
--- a/internal/router/serve/target.go
+++ b/internal/router/serve/target.go
@@ -39,10 +39,10 @@
 	// that Move returns.
 	handle, err := c.s.Upstream.Move(context.WithoutCancel(ctx), from, c.in.Call.ID, target.Endpoint, false)
 	if err != nil {
-		c.logMoveFailed(m.source, target, false, err)
+		c.logMoveFailed(m.source, target, false, "", err)
 		markIfFull(target, err)
 		target.Release(time.Now(), outcomeNone)
-		return nil, opReport{failReason: ReasonLost, failedTarget: target.Endpoint.ID, tryNext: errors.Is(err, ErrMoveRefused), notRunning: errors.Is(err, ErrNotRunning)}
+		return nil, opReport{failReason: ReasonLost, failedTarget: target.Endpoint.ID, tryNext: errors.Is(err, ErrMoveRefused)}
 	}
 	return &remoteCopy{cache: KVCacheRef{Address: from.Address, Handle: handle}, target: target, began: began, usable: began}, opReport{}
 }
@@ -114,14 +114,21 @@
 	}
 }
 
-// moveCancelled frees the copy of a move that does not go on and returns the report. The run
-// was not stopped.
-func (c *streamCall) moveCancelled(src *source, remote *remoteCopy, why string) opReport {
+// moveCancelled frees the copy of a move that does not go on, unless it may be all that is left
+// of the run, and returns the report. The attempt has not stopped the run.
+func (c *streamCall) moveCancelled(m moveAttempt, remote *remoteCopy, why string) opReport {
+	src := m.source
 	c.s.Metrics.Handovers.WithLabelValues("cancelled").Inc()
 	fields := []zap.Field{zap.String("id", c.in.Call.ID), zap.String("from", src.lease.Endpoint.ID), zap.String("why", why)}
 	report := opReport{failReason: ReasonLost}
 	if remote != nil {
 		fields = append(fields, zap.String("to", remote.target.Endpoint.ID), zap.Duration("copy_age", time.Since(remote.began)))
+	}
+	switch {
+	case remote == nil:
+	case m.keepsCopy:
+		report.spareCopy = remote
+	default:
 		if src.lease.IsLeaving() {
 			report.failedTarget, report.tryNext = remote.target.Endpoint.ID, true
 		}
