An endpoint at its limit of connections is not down

Cause: after a call that broke off, the endpoint's address is probed, and one that accepts a connection and ends it counted as serving nobody. An endpoint resets the connections beyond its limit in just this way. The call was then blamed for a crash, and three such probes blocked it or a part of its prompt at all gateways, without any crash. A process that ends resets what it has not accepted yet, and its host then refuses; one at its limit resets again or has room. A connection that is closed without a reset still counts as closed.

--- a/internal/call/httpc/closed_test.go
+++ b/internal/call/httpc/closed_test.go
@@ -6,6 +6,19 @@
 	"time"
 )
 
+// resetNext resets the next connection. It returns false if there is none.
+func resetNext(ln net.Listener) bool {
+	c, err := ln.Accept()
+	if err != nil {
+		return false
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return c.Close() == nil
+}
+
+// Guards against calls that are blamed for a crash, as an endpoint at its limit of connections was
+// taken for one that is down.
+//
 // A host that refuses or closes new connections serves nobody; one that says nothing may.
 func TestClosed(t *testing.T) {
 	for _, test := range []struct {
@@ -23,6 +36,19 @@
 				_ = c.Close()
 			}
 		}, true},
+		{"resets what it accepts, as it is at its limit of connections", func(ln net.Listener) {
+			for resetNext(ln) {
+				continue
+			}
+		}, false},
+		{"resets one as it ends, then refuses", func(ln net.Listener) {
+			resetNext(ln)
+			_ = ln.Close()
+		}, true},
+		{"resets one, then has room", func(ln net.Listener) {
+			resetNext(ln)
+			_, _ = ln.Accept()
+		}, false},
 		{"waits for a request", func(ln net.Listener) { _, _ = ln.Accept() }, false},
 		{"does not accept", func(net.Listener) {}, false},
 	} {
