Freeing a copy is tried again within its second

Cause: DELETE of a copy was sent once. An engine at its limit of connections resets it, and keeps the copy's memory and slot for many seconds (kv_handle_s). Change: without an answer it is tried again after 150 ms, for a second in all, as long as the one try could take before. An answer of any status ends it. Test: router/serve TestCopyIsFreedAtConnectionLimit, 0 copies freed before, want 1.

--- a/internal/router/serve/harness_test.go
+++ b/internal/router/serve/harness_test.go
@@ -71,7 +71,8 @@
 	movesBeforeErr int           // moves that succeed before the others fail with moveErr
 	refusedMoves   int           // moves that fail with moveErr before the others succeed; 0: see movesBeforeErr
 	failedHandle   string        // returned by moves that fail
-	freedCopies    int           // calls of Free
+	freedCopies    int           // calls of Free that succeeded
+	unfreed        int           // further calls of Free that get no answer
 	stopDelay      time.Duration // time from the request of a final move until its run stops
 
 	stopHidesEnd        bool // the stream of a run that a final move stops does not end
@@ -162,6 +163,10 @@
 func (u *fakeUpstream) Free(context.Context, endpt.Endpoint, string) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.unfreed > 0 {
+		u.unfreed--
+		return fmt.Errorf("free: %w", brokenErr)
+	}
 	u.freedCopies++
 	return nil
 }
--- a/internal/router/serve/move.go
+++ b/internal/router/serve/move.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosalock/mimosalock/internal/call/desc"
+	"github.com/mimosalock/mimosalock/internal/call/httpc"
 	"github.com/mimosalock/mimosalock/internal/fleet/endpt"
 	"github.com/mimosalock/mimosalock/internal/router/sched"
 )
@@ -240,13 +241,30 @@
 	go s.freeCopy(remote.target.Endpoint, remote.cache.Handle)
 }
 
-// freeCopy frees what an engine keeps under a handle.
+// freeCopy frees what an engine keeps under a handle. It tries again, as an engine may be at its
+// limit of connections for a moment, and keeps for many seconds what is not freed.
 func (s *Server) freeCopy(at endpt.Endpoint, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	if err := s.Upstream.Free(ctx, at, handle); err != nil {
-		s.Log.Info("copy_not_freed", zap.String("endpoint", at.ID), zap.Error(err))
+	for {
+		err := s.Upstream.Free(ctx, at, handle)
+		if err == nil {
+			return
+		}
+		if !isNoAnswer(err) || !sleepUntilDone(ctx, freeRetryPause) {
+			s.Log.Info("copy_not_freed", zap.String("endpoint", at.ID), zap.Error(err))
+			return
+		}
 	}
 }
 
-const freeTimeout = time.Second // engines respond to this request at once
+// isNoAnswer reports whether an error means that the endpoint has not answered a request.
+func isNoAnswer(err error) bool {
+	var sendErr *httpc.Error
+	return errors.As(err, &sendErr)
+}
+
+const (
+	freeTimeout    = time.Second // engines respond to this request at once
+	freeRetryPause = 150 * time.Millisecond
+)
--- a/internal/router/serve/stream_test.go
+++ b/internal/router/serve/stream_test.go
@@ -305,6 +305,25 @@
 	}
 }
 
+// Guards against a copy that keeps its engine's memory and slot for many seconds, as the engine was
+// at its limit of connections when the copy was to be freed.
+func TestCopyIsFreedAtConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(streamReply(0, 13))
+		h.unfreed = 2
+		h.moveErr, h.movesBeforeErr, h.moveTimes = ErrNotRunning, 1, []time.Duration{100 * time.Millisecond}
+		go func() {
+			time.Sleep(510 * time.Millisecond)
+			h.removeFirstEndpoint()
+		}()
+		expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 13)
+		expectNoLoad(t, h)
+		if h.freedCopies != 1 {
+			t.Errorf("%d copies were freed, want 1", h.freedCopies)
+		}
+	})
+}
+
 // The stream resumes at the target even if the connection to the stopped source
 // stalls and never closes.
 func TestStoppedSourceNeverCloses(t *testing.T) {
