Crashes speak against a call only if no common loss explains them

Cause: three crashed engines under a part or a call blocked it, whatever had ended them. What all calls of a route share is under way at every engine. A blocked call is sent nowhere, so that no answer lifts the block for ten minutes. Change: three crashes count if each is apart from the one before: its call was sent after that crash, or it is more than half a second later. Calls that were under way at a loss were all sent before it.

--- a/internal/entry/relay/attempt.go
+++ b/internal/entry/relay/attempt.go
@@ -199,7 +199,8 @@
 	s.agent = chosen.Member
 	s.attempt = callid.New(s.call.ID, chosen.Member.DataCentre, chosen.Member.Host, chosen.Reply.Incarnation)
 	s.beat = chosen.Reply.Beat
-	s.lastHeard, s.checkedAt, s.pause = time.Now(), time.Now(), 0
+	s.offeredAt = time.Now()
+	s.lastHeard, s.checkedAt, s.pause = s.offeredAt, s.offeredAt, 0
 	o := s.newOffer()
 	o.Attempt, o.Session = s.attempt.String(), s.sessionID
 	o.Incarnation, o.Beat = chosen.Reply.Incarnation, chosen.Reply.Beat
--- a/internal/entry/relay/crash.go
+++ b/internal/entry/relay/crash.go
@@ -35,7 +35,7 @@
 		start = now.Unix()
 	}
 	for _, parts := range s.blamable() {
-		s.Blame.RecordCrash(now, s.agent.Host, start, parts)
+		s.Blame.RecordCrash(now, now.Sub(s.offeredAt), s.agent.Host, start, parts)
 	}
 }
 
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -87,6 +87,7 @@
 	offerCount int             // number of offers sent
 	crashes    int             // of endpoints, under the call
 	refusals   refusals        // of agents
+	offeredAt  time.Time       // of the attempt, zero if another session offered it
 	lastAnswer time.Time       // when an answer to the prompt was last recorded, at first that of the first frame
 	lastHeard  time.Time       // when the agent of the attempt last sent a message, at first the time of the offer
 	checkedAt  time.Time       // when the agent was last asked whether its engine answers, at first the time of the offer
--- a/internal/router/blame/blame.go
+++ b/internal/router/blame/blame.go
@@ -46,6 +46,7 @@
 	Engine uint32        // hash of the engine's ID and start, so that each start counts once
 	Parts  []Part        // of the call, without the part that is the call's or its session's own
 	Age    time.Duration // time since
+	Ran    time.Duration // from the send of the call until then; 0 if unknown
 }
 
 // Answer is the newest response that an engine gave to a call with a part.
@@ -78,12 +79,12 @@
 	return &Ledger{answers: newAnswers(), changed: make(chan struct{})}
 }
 
-// RecordCrash records that an engine crashed under a call. The start is in milliseconds
-// since the Unix epoch.
-func (l *Ledger) RecordCrash(now time.Time, engineID string, startedMs int64, parts []Part) {
+// RecordCrash records that an engine crashed under a call, and how long after its send. The
+// start is in milliseconds since the Unix epoch.
+func (l *Ledger) RecordCrash(now time.Time, ran time.Duration, engineID string, startedMs int64, parts []Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.add(engineKey(engineID, startedMs), now, parts) {
+	if l.add(engineKey(engineID, startedMs), now, max(time.Millisecond, ran.Truncate(time.Millisecond)), parts) {
 		l.update(now)
 	}
 }
@@ -148,7 +149,7 @@
 	}
 	for rec := range l.outline.crashes(int(now.UnixNano() / int64(turnTime))) {
 		if age := rec.age(now); len(r.Crashes) < maxCrashes && age < reportAge && (rec.isShared || age < newsAge) {
-			r.Crashes = append(r.Crashes, Crash{Engine: rec.engine, Parts: rec.parts, Age: age})
+			r.Crashes = append(r.Crashes, Crash{Engine: rec.engine, Parts: rec.parts, Age: age, Ran: rec.ran})
 		}
 	}
 	inCrashes := r.crashParts()
@@ -180,7 +181,7 @@
 	isNews := false
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashes)] {
 		if c.Age < reportAge {
-			isNews = l.add(c.Engine, now.Add(-max(0, c.Age)), c.Parts) || isNews
+			isNews = l.add(c.Engine, now.Add(-max(0, c.Age)), c.Ran, c.Parts) || isNews
 		}
 	}
 	for _, a := range r.Answers[:min(len(r.Answers), maxAnswers)] {
--- a/internal/router/blame/encode.go
+++ b/internal/router/blame/encode.go
@@ -19,7 +19,9 @@
 
 // Encode returns the wire form of a report: the number of parts; of each part its
 // hash and the age of its answer in ms plus one, 0 if it has none; then for each crash
-// the engine, the age in ms, the number of parts and their places in the list. Crashes
+// the engine, the age in ms, the number of parts and their places in the list, and, if it is
+// known and at most commonLoss, how long the call ran in ms, in place of the engine of a crash
+// without age and parts, which earlier versions ignore. Crashes without parts are left out. Crashes
 // that do not fit into maxBytes are left out, with the answers of their parts. If not even
 // the first fits, the report may take MaxReportBytes. Answers to parts of no crash take the
 // room that is left.
@@ -31,6 +33,9 @@
 	places := map[Part]int{}
 	var parts, crashes []byte
 	for _, c := range r.Crashes {
+		if len(c.Parts) == 0 {
+			continue
+		}
 		nextParts, added := parts, []Part(nil)
 		next := binary.BigEndian.AppendUint32(crashes, c.Engine)
 		next = binary.AppendUvarint(next, ageMs(c.Age))
@@ -43,6 +48,10 @@
 			}
 			next = binary.AppendUvarint(next, uint64(places[part]))
 		}
+		if c.Ran > 0 && c.Ran <= commonLoss {
+			next = binary.BigEndian.AppendUint32(next, uint32(max(1, c.Ran.Milliseconds())))
+			next = append(next, 0, 0)
+		}
 		size := binary.MaxVarintLen16 + len(nextParts) + len(next)
 		if len(crashes) == 0 && size > maxBytes {
 			maxBytes = MaxReportBytes
@@ -99,7 +108,13 @@
 				c.Parts = append(c.Parts, parts[place])
 			}
 		}
-		r.Crashes = append(r.Crashes, c)
+		last := len(r.Crashes) - 1
+		switch {
+		case len(c.Parts) > 0:
+			r.Crashes = append(r.Crashes, c)
+		case last >= 0 && c.Age == 0:
+			r.Crashes[last].Ran = min(commonLoss, time.Duration(c.Engine)*time.Millisecond)
+		}
 	}
 	if d.failed || len(raw) == 0 {
 		return Report{}, errInvalid
--- a/internal/router/blame/outline.go
+++ b/internal/router/blame/outline.go
@@ -17,7 +17,7 @@
 	listed := map[*record]bool{}
 	if b := l.blocks.Load(); b != nil {
 		for _, r := range b.rules {
-			needed := slices.DeleteFunc(r.reportOrder()[:minEngines], func(rec *record) bool { return listed[rec] })
+			needed := slices.DeleteFunc(r.reportOrder()[:minCrashes], func(rec *record) bool { return listed[rec] })
 			for _, rec := range needed {
 				listed[rec] = true
 			}
@@ -48,7 +48,7 @@
 // first changes with the turn if there are more than a report holds.
 func (o *outline) crashes(turn int) iter.Seq[*record] {
 	first := 0
-	if len(o.rules)*minEngines > maxCrashes {
+	if len(o.rules)*minCrashes > maxCrashes {
 		first = turn % len(o.rules)
 	}
 	return func(yield func(*record) bool) {
--- a/internal/router/blame/record.go
+++ b/internal/router/blame/record.go
@@ -10,12 +10,13 @@
 // long as there is room, to recognize repetitions and to tell peers the answers.
 type record struct {
 	engine   uint32
-	time     time.Time // earliest known
-	parts    []Part    // 1 to maxParts, ascending, distinct; immutable
-	cleared  uint64    // bit i: parts[i] was answered at this time or later
-	supports bool      // a block rests on it
-	isShared bool      // an open part of it is one of another engine's crash too
-	isNews   bool      // peers have not been told yet
+	time     time.Time     // earliest known
+	ran      time.Duration // from the send of the call until the crash, the shortest known; 0 if unknown
+	parts    []Part        // 1 to maxParts, ascending, distinct; immutable
+	cleared  uint64        // bit i: parts[i] was answered at this time or later
+	supports bool          // a block rests on it
+	isShared bool          // an open part of it is one of another engine's crash too
+	isNews   bool          // peers have not been told yet
 }
 
 func (r *record) isCleared(i int) bool            { return r.cleared>>i&1 == 1 }
@@ -55,9 +56,10 @@
 	return !slices.ContainsFunc(r.parts, func(p Part) bool { return l.answers.newest(p).Before(at) })
 }
 
-// add adds a crash or corrects its time: it keeps the earliest, but a settled record does
-// not hide a crash after the answers. It returns false if that changes nothing.
-func (l *Ledger) add(engine uint32, at time.Time, parts []Part) bool {
+// add adds a crash or corrects its times: it keeps the earliest, and the shortest time of a
+// call that ran, but a settled record does not hide a crash after the answers. It returns
+// false if that changes nothing.
+func (l *Ledger) add(engine uint32, at time.Time, ran time.Duration, parts []Part) bool {
 	set := partSet(parts)
 	if len(set) == 0 {
 		return false
@@ -68,6 +70,9 @@
 			if isNews {
 				r.time = at
 			}
+			if ran > 0 && (r.ran == 0 || ran < r.ran) {
+				r.ran, isNews = ran, true
+			}
 			return isNews
 		}
 	}
@@ -75,12 +80,12 @@
 		return false
 	}
 	l.answers.pin(set)
-	l.records = append(l.records, &record{engine: engine, time: at, parts: set, isNews: true})
+	l.records = append(l.records, &record{engine: engine, time: at, ran: ran, parts: set, isNews: true})
 	return true
 }
 
-// isProven reports whether enough engines crashed under calls with just these parts. Further
-// crashes would only take the place of others.
+// isProven reports whether calls with just these parts are enough to block them, here and at
+// those who are told of them. Further crashes would only take the place of others.
 func (l *Ledger) isProven(set []Part) bool {
 	var same []*record
 	for _, r := range l.records {
@@ -88,7 +93,7 @@
 			same = append(same, r)
 		}
 	}
-	return countEngines(same) == minEngines
+	return isEvidence(same, reportSkew)
 }
 
 // clears reports whether an answer would clear a part of a record that the newest
--- a/internal/router/blame/rule.go
+++ b/internal/router/blame/rule.go
@@ -6,8 +6,16 @@
 	"time"
 )
 
-// minEngines is how many engines, or starts of one, have to crash under a part.
-const minEngines = 3
+const (
+	// minCrashes is how many engines, or starts of one, have to crash under a part, each apart
+	// from the others.
+	minCrashes = 3
+	// commonLoss is how long after the first of them the engines of a host or a data centre
+	// that is lost are known to have crashed.
+	commonLoss = 500 * time.Millisecond
+	// reportSkew is how much later a crash may seem to those who are told of it.
+	reportSkew = 50 * time.Millisecond
+)
 
 // rule is a set of parts that no call may hold all of. It is immutable.
 type rule struct {
@@ -80,13 +88,13 @@
 			rs = append(rs, records[suspects[0].record])
 			suspects = suspects[1:]
 		}
-		if countEngines(rs) > 1 {
+		if !isOneEngine(rs) {
 			for _, r := range rs {
 				r.isShared = true
 			}
 		}
 		isSame := func(r rule) bool { return slices.Equal(r.records, rs) }
-		if countEngines(rs) == minEngines && !slices.ContainsFunc(candidates, isSame) {
+		if isEvidence(rs, 0) && !slices.ContainsFunc(candidates, isSame) {
 			candidates = append(candidates, newRule(rs))
 		}
 	}
@@ -130,18 +138,43 @@
 	return !slices.ContainsFunc(records, func(r *record) bool { return !has(r) })
 }
 
-// countEngines returns of how many distinct engines the records are, at most minEngines.
-func countEngines(records []*record) int {
-	engines := make([]uint32, 0, minEngines)
-	for _, r := range records {
-		if !slices.Contains(engines, r.engine) {
-			engines = append(engines, r.engine)
-		}
-		if len(engines) == minEngines {
+// isOneEngine reports whether all records are of the same engine.
+func isOneEngine(records []*record) bool {
+	return allOf(records, func(r *record) bool { return r.engine == records[0].engine })
+}
+
+// isEvidence reports whether crashes speak against the calls that they have in common. With a
+// slack they do so also for those who know their times less well.
+func isEvidence(records []*record, slack time.Duration) bool {
+	return len(chain(records, slack)) == minCrashes
+}
+
+// chain returns up to minCrashes of the records that no common loss explains, oldest first:
+// each of another engine and apart from the one before it. Calls that were merely under way
+// when a host or a data centre was lost have one such crash, however many engines it took. Under
+// a call that crashes its engines one crash follows the other, each after another send.
+func chain(records []*record, slack time.Duration) []*record {
+	sorted := slices.SortedFunc(slices.Values(records), func(a, b *record) int {
+		return cmp.Or(a.time.Compare(b.time), cmp.Compare(a.engine, b.engine))
+	})
+	links := make([]*record, 0, minCrashes)
+	for _, r := range sorted {
+		isKnown := func(link *record) bool { return link.engine == r.engine }
+		if len(links) == minCrashes {
 			break
 		}
+		if len(links) == 0 || r.isApartFrom(links[len(links)-1], slack) && !slices.ContainsFunc(links, isKnown) {
+			links = append(links, r)
+		}
 	}
-	return len(engines)
+	return links
+}
+
+// isApartFrom reports whether an earlier crash and this one had different causes: the call of
+// this one was sent after the other crash, or it is too late for a common loss.
+func (r *record) isApartFrom(earlier *record, slack time.Duration) bool {
+	gap := r.time.Sub(earlier.time) - slack
+	return gap > commonLoss || r.ran > 0 && gap > max(r.ran, reportSkew)
 }
 
 // newRule returns the rule of the parts whose suspicions are those of the records: all
@@ -158,20 +191,13 @@
 	return rule{parts: parts, records: slices.Clone(records)}
 }
 
-// reportOrder returns the records with the oldest first, on whose time the rule depends,
-// then one of each engine, then the others, each from the newest on.
+// reportOrder returns the records with the oldest first, on whose time the rule depends, then
+// the others that make it, then the rest, each from the newest on.
 func (r rule) reportOrder() []*record {
-	sorted := newestFirst(r.records)
-	oldest := sorted[len(sorted)-1]
-	first, repeated := []*record{oldest}, []*record(nil)
-	engines := map[uint32]bool{oldest.engine: true}
-	for _, rec := range sorted[:len(sorted)-1] {
-		if engines[rec.engine] {
-			repeated = append(repeated, rec)
-			continue
-		}
-		engines[rec.engine] = true
-		first = append(first, rec)
+	links := chain(r.records, reportSkew) // begins with the oldest
+	if len(links) < minCrashes {
+		links = chain(r.records, 0)
 	}
-	return append(first, repeated...)
+	isLink := func(rec *record) bool { return slices.Contains(links, rec) }
+	return append(links, slices.DeleteFunc(newestFirst(r.records), isLink)...)
 }
--- a/internal/router/serve/crash.go
+++ b/internal/router/serve/crash.go
@@ -40,8 +40,9 @@
 const checkTimeout = 150 * time.Millisecond
 
 // checkCrash reports whether an endpoint that broke off a call serves nobody any more, and
-// records the crash. Calls that break off together ask once.
-func (s *Server) checkCrash(ctx context.Context, call *desc.Call, endpoint endpt.Endpoint, cause error) bool {
+// records the crash. Calls that break off together ask once. sent is when the endpoint was sent
+// the call.
+func (s *Server) checkCrash(ctx context.Context, call *desc.Call, endpoint endpt.Endpoint, sent time.Time, cause error) bool {
 	if ctx.Err() != nil || !httpc.IsBroken(cause) && !httpc.IsInvalid(cause) {
 		return false
 	}
@@ -58,9 +59,9 @@
 	}
 	s.Metrics.LostSends.WithLabelValues(state).Inc()
 	s.Log.Info("endpoint_checked", zap.String("id", call.ID), zap.String("endpoint", endpoint.ID), zap.String("address", endpoint.Address),
-		zap.Int64("started_ms", endpoint.StartedMs), zap.String("found", state), zap.Duration("took", time.Since(began)), fingerprintField(call))
+		zap.Int64("started_ms", endpoint.StartedMs), zap.String("found", state), zap.Duration("took", time.Since(began)), zap.Duration("ran", began.Sub(sent)), fingerprintField(call))
 	if down && call.Fingerprint != 0 {
-		s.Blame.RecordCrash(time.Now(), endpoint.ID, endpoint.StartedMs, wholeOf(call))
+		s.Blame.RecordCrash(began, began.Sub(sent), endpoint.ID, endpoint.StartedMs, wholeOf(call))
 	}
 	return down
 }
@@ -71,14 +72,15 @@
 }
 
 // recordCrash records that an engine broke off a call's response after its head and
-// before its first event.
-func (s *Server) recordCrash(call *desc.Call, engine endpt.Endpoint) {
+// before its first event. sent is when the engine was sent the call.
+func (s *Server) recordCrash(call *desc.Call, engine endpt.Endpoint, sent time.Time) {
 	if len(call.PromptParts) == 0 {
 		return
 	}
+	now := time.Now()
 	s.Metrics.EarlyBreaks.Inc()
-	s.Log.Warn("response_broken_at_start", zap.String("id", call.ID), zap.String("endpoint", engine.ID), zap.Strings("prompt_parts", call.PromptParts))
-	s.Blame.RecordCrash(time.Now(), engine.ID, engine.StartedMs, partsOf(call))
+	s.Log.Warn("response_broken_at_start", zap.String("id", call.ID), zap.String("endpoint", engine.ID), zap.Strings("prompt_parts", call.PromptParts), zap.Duration("ran", now.Sub(sent)))
+	s.Blame.RecordCrash(now, now.Sub(sent), engine.ID, engine.StartedMs, partsOf(call))
 }
 
 // recordAnswer records that an engine has answered a call.
--- a/internal/router/serve/source.go
+++ b/internal/router/serve/source.go
@@ -27,6 +27,7 @@
 // source is one endpoint's response to a streaming call, read event by event.
 type source struct {
 	lease    *sched.Lease
+	sent     time.Time // when the endpoint was sent the request
 	response *Response
 	events   chan streamItem
 	ahead    *semaphore.Weighted // bytes of the events in the channel
@@ -46,7 +47,7 @@
 func (s *Server) open(caller, givenUp context.Context, lease *sched.Lease, req SendRequest, at position) (*source, attempt) {
 	ctx, cancel := context.WithCancel(caller)
 	inTime := context.AfterFunc(givenUp, cancel)
-	a := attempt{lease: lease}
+	a, sent := attempt{lease: lease}, time.Now()
 	a.response, a.err = s.Upstream.Send(ctx, lease.Endpoint, req)
 	if !inTime() && a.err == nil { // its body is cut off already
 		a.hangup = a.response.Body.Hangup()
@@ -61,7 +62,7 @@
 		if a.verdict == verdictWhole || a.verdict == verdictFailed {
 			s.recordRun(req.Call)
 		}
-		a.crashed = a.verdict == verdictLost && s.checkCrash(ctx, req.Call, lease.Endpoint, a.err)
+		a.crashed = a.verdict == verdictLost && s.checkCrash(ctx, req.Call, lease.Endpoint, sent, a.err)
 		cancel()
 		lease.Release(time.Now(), a.leaseOutcome(caller))
 		why := a.verdict.String()
@@ -71,7 +72,7 @@
 		a.left = s.leaveAttempt(caller, req.Call, a, why)
 		return nil, a
 	}
-	src := &source{lease: lease, response: a.response, cancel: cancel, events: make(chan streamItem, eventBuffer), ahead: semaphore.NewWeighted(maxReadAhead)}
+	src := &source{lease: lease, sent: sent, response: a.response, cancel: cancel, events: make(chan streamItem, eventBuffer), ahead: semaphore.NewWeighted(maxReadAhead)}
 	go src.read(ctx, at)
 	return src, a
 }
--- a/internal/router/serve/stream.go
+++ b/internal/router/serve/stream.go
@@ -214,9 +214,9 @@
 		c.s.outputs.recordNotice(c.in.Call.Service, time.Since(c.leavingSince))
 	}
 	if !c.answering() {
-		c.s.recordCrash(c.in.Call, c.source.lease.Endpoint)
+		c.s.recordCrash(c.in.Call, c.source.lease.Endpoint, c.source.sent)
 	}
-	if !c.proven(time.Now()) && c.s.checkCrash(ctx, c.in.Call, c.source.lease.Endpoint, it.err) {
+	if !c.proven(time.Now()) && c.s.checkCrash(ctx, c.in.Call, c.source.lease.Endpoint, c.source.sent, it.err) {
 		c.crashes++
 	}
 	return c.loseSource(ctx, outcomeFailed, "broken")
--- a/internal/router/serve/unary.go
+++ b/internal/router/serve/unary.go
@@ -259,9 +259,9 @@
 	case a.verdict == verdictFailed:
 		s.recordRun(in.Call)
 	case a.err != nil && ctx.Err() == nil && a.beganAnswer():
-		s.recordCrash(in.Call, lease.Endpoint)
+		s.recordCrash(in.Call, lease.Endpoint, began)
 	}
-	a.crashed = a.verdict == verdictLost && s.checkCrash(ctx, in.Call, lease.Endpoint, a.err)
+	a.crashed = a.verdict == verdictLost && s.checkCrash(ctx, in.Call, lease.Endpoint, began, a.err)
 	s.leaveAttempt(ctx, in.Call, a, a.verdict.String())
 	return a
 }
