A refused move does not show that an earlier one has stopped nothing

Found while reading the change of final moves: the body of a stream without length or chunks ends while a second final move is under way, which is then refused (409). The stream counted as complete, although the first move, whose answer was lost, may be what the refusal speaks of, and have stopped the run. Change: such an end is sure only if no final move of the source stayed unanswered.

--- a/internal/router/blame/rule.go
+++ b/internal/router/blame/rule.go
@@ -10,8 +10,8 @@
 	// minCrashes is how many engines, or starts of one, have to crash under a part, each apart
 	// from the others.
 	minCrashes = 3
-	// commonLoss is how long after the first of them the engines of a host or a data centre
-	// that is lost are known to have crashed.
+	// commonLoss is the time within which all engines of a host or a data centre that is lost
+	// are noticed to have crashed.
 	commonLoss = 500 * time.Millisecond
 	// reportSkew is how much later a crash may seem to those who are told of it.
 	reportSkew = 50 * time.Millisecond
--- a/internal/router/serve/stop.go
+++ b/internal/router/serve/stop.go
@@ -69,7 +69,7 @@
 func (c *streamCall) stopPending() bool { return c.movedCopy == nil && c.finalMoveSent.Load() }
 
 // endedComplete reports whether a source whose body ended while its final move was pending has
-// ended its run, as the move's answer tells.
+// ended its run, as the move's answer tells, and no earlier one may have stopped it.
 func (c *streamCall) endedComplete(state stopState) bool {
-	return c.sourceEnded && (state == runNotStopped || state == runNotThere)
+	return c.sourceEnded && c.stop != runMaybeStopped && (state == runNotStopped || state == runNotThere)
 }
--- a/internal/router/serve/stop_test.go
+++ b/internal/router/serve/stop_test.go
@@ -74,6 +74,32 @@
 	}
 }
 
+// Guards against a stream without framing that its final move has stopped, and that counts as
+// complete as a second one is refused: the first, whose answer was lost, may still be in progress.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := streamReply(0, 40)
+		first.unframed = true
+		h := newHarness(first)
+		h.moveTimes = idleLinkTimes
+		h.onFinalMove = func() (string, error) {
+			h.onFinalMove = func() (string, error) {
+				h.stop()
+				time.Sleep(moveReportDelay)
+				return "", ErrMoveRefused
+			}
+			return "", brokenErr
+		}
+		go func() {
+			time.Sleep(510 * time.Millisecond)
+			h.removeFirstEndpoint()
+			h.setReplies(reply{status: 200, until: 39, gap: 50 * time.Millisecond})
+		}()
+		expectStream(t, h, h.serve(t.Context(), desc.KindStream, 1), callst.OutcomeComplete, 40)
+		expectNoLoad(t, h)
+	})
+}
+
 // Guards against a stream whose engine stands still after its final move and which waits for
 // further moves instead of going on from its copy, as callers abandon a stream after 2 s.
 func TestEngineStandsStillAfterFinalMove(t *testing.T) {
